--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_buckets.py
@@ -0,0 +1,168 @@
+"""Changes to the bucket table and its form in messages."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from stoattray_core._errors import InvariantViolated
+from stoattray_core._groups import pack_groups, unpack_group
+from stoattray_core._identifiers import (
+    N_SHARDS,
+    FlowId,
+    MemberId,
+    ServerId,
+    ServiceId,
+    server_address,
+)
+from stoattray_core._state import State
+from stoattray_core._tables import Bucket, BucketKey, ServiceRow
+from stoattray_core.messages import BucketState, FlowGroup, ShardState
+
+BUCKET_STATE_BYTES = 64
+MAX_PART_BYTES = 16_000
+
+
+@dataclass(slots=True)
+class BucketPart:
+    """Buckets with their pins, small enough for one message."""
+
+    buckets: list[BucketState] = field(default_factory=list)
+    pins: list[FlowGroup] = field(default_factory=list)
+
+
+def describe_bucket(service: ServiceId, shard: int, bucket: Bucket) -> BucketState:
+    """Return a bucket as a message."""
+    return BucketState(
+        service, shard, bucket.epoch, bucket.version, bucket.tracked, bucket.base
+    )
+
+
+def split_buckets(
+    keys: Iterable[BucketKey], services: dict[ServiceId, ServiceRow]
+) -> Iterator[BucketPart]:
+    """Yield the buckets in message-sized parts, each with all of its pins."""
+    part = BucketPart()
+    size = 0
+    for service, shard in keys:
+        row = services.get(service)
+        bucket = row.buckets[shard] if row is not None else None
+        if bucket is None:
+            continue
+        added = BUCKET_STATE_BYTES + 6 * len(bucket.pins)
+        if part.buckets and size + added > MAX_PART_BYTES:
+            yield part
+            part = BucketPart()
+            size = 0
+        part.buckets.append(describe_bucket(service, shard, bucket))
+        part.pins.extend(pack_groups(service, shard, bucket.pins))
+        size += added
+    yield part
+
+
+def known_buckets(state: State, shards: Iterable[int] | None = None) -> list[BucketKey]:
+    """Return the key of each bucket that this balancer knows."""
+    wanted = range(N_SHARDS) if shards is None else list(shards)
+    return [
+        (service, shard)
+        for service, row in state.tables.services.items()
+        for shard in wanted
+        if row.buckets[shard] is not None
+    ]
+
+
+def apply_buckets(
+    state: State, buckets: list[BucketState], pins: list[FlowGroup]
+) -> None:
+    """Take in buckets that are later than those held."""
+    pins_by_key: dict[BucketKey, dict[FlowId, ServerId]] = {}
+    for group in pins:
+        key = (ServiceId(group.service), group.shard)
+        flows = pins_by_key.setdefault(key, {})
+        for flow in unpack_group(group):
+            flows[flow] = ServerId(group.server)
+    for item in buckets:
+        row = state.tables.services.get(ServiceId(item.service))
+        if row is None or not 0 <= item.shard < N_SHARDS:
+            continue
+        key = (row.spec.service, item.shard)
+        held = row.buckets[item.shard]
+        if held is not None and (item.epoch, item.version) <= held.order:
+            continue
+        bucket = Bucket(
+            epoch=item.epoch,
+            version=item.version,
+            tracked=item.tracked,
+            base=ServerId(item.base),
+            pins=pins_by_key.get(key, {}),
+        )
+        if held is not None:
+            bucket.used = held.used
+            bucket.used_before = held.used_before
+            bucket.hints = held.hints if held.tracked and bucket.tracked else {}
+        install_bucket(state, row, item.shard, bucket)
+
+
+def install_bucket(state: State, row: ServiceRow, shard: int, bucket: Bucket) -> None:
+    """Put a bucket into the table and refresh the fast path."""
+    held = row.buckets[shard]
+    if held is not None and bucket.order < held.order:
+        raise InvariantViolated("bucket version went down")
+    row.buckets[shard] = bucket
+    if not bucket.tracked:
+        state.tables.copies.pop((row.spec.service, shard), None)
+    refresh_fast_address(row, shard)
+
+
+def refresh_fast_address(row: ServiceRow, shard: int) -> None:
+    """Allow the fast path for a bucket where every flow is at one live server."""
+    bucket = row.buckets[shard]
+    is_plain = bucket is not None and not bucket.tracked and not bucket.pins
+    if not is_plain or bucket.base in row.failed:
+        row.fast_addresses[shard] = None
+        return
+    row.fast_addresses[shard] = server_address(bucket.base)
+
+
+def apply_shards(state: State, shards: list[ShardState]) -> bool:
+    """Take in claims of ownership; return whether none was behind what is held."""
+    is_current = True
+    for item in shards:
+        if not 0 <= item.shard < N_SHARDS:
+            is_current = False
+            continue
+        row = state.tables.shards[item.shard]
+        if (item.epoch, item.owner) < row.order:
+            is_current = False
+            continue
+        _adopt_claim(state, item)
+    return is_current
+
+
+def _adopt_claim(state: State, claim: ShardState) -> None:
+    row = state.tables.shards[claim.shard]
+    if (claim.epoch, claim.owner) == row.order:
+        return
+    was_mine = row.owner == state.me
+    member = state.tables.members.get(MemberId(claim.owner))
+    is_usable = member is not None and member.is_present and member.member != state.me
+    row.epoch = claim.epoch
+    row.owner = MemberId(claim.owner) if is_usable else None
+    if was_mine:
+        release_shard(state, claim.shard)
+
+
+def release_shard(state: State, shard: int) -> None:
+    """Turn the owner's records of a shard into copies."""
+    for key in [key for key in state.tables.moves if key[1] == shard]:
+        move = state.tables.moves.pop(key)
+        if move.is_settling:
+            refresh_fast_address(state.tables.services[key[0]], shard)
+            continue
+        copies = state.tables.copies.setdefault(key, {})
+        for flow, record in move.records.items():
+            copies[flow] = record.server
+
+
+def describe_shard(state: State, shard: int) -> ShardState:
+    """Return the acting owner of a shard as a message."""
+    row = state.tables.shards[shard]
+    return ShardState(shard, row.epoch, row.owner or "")
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_distribution.py
@@ -0,0 +1,204 @@
+"""Spread of the configuration: who reads the platform, who asks whom.
+
+Entries carry the store's revision. A balancer at revision R holds every entry
+as of R, so a delta is taken in only if it starts at or below R and goes
+beyond it. The held revision never goes down.
+"""
+
+from dataclasses import dataclass, field
+
+from stoattray_core._buckets import refresh_fast_address
+from stoattray_core._errors import InvariantViolated
+from stoattray_core._hashing import placement_table
+from stoattray_core._identifiers import (
+    N_SHARDS,
+    Address,
+    MemberId,
+    Millis,
+    ServerId,
+    ServiceId,
+)
+from stoattray_core._state import State
+from stoattray_core._tables import ServiceRow
+from stoattray_core.configuration import (
+    BackendServerSpec,
+    ConfigEntry,
+    ServerState,
+    ServiceSpec,
+)
+from stoattray_core.messages import ConfigDelta, ConfigPull, EntryState
+from stoattray_core.resources import parse_stored_service
+
+MAX_DELTA_BYTES = 16_384
+N_READERS = 2
+PULL_PERIOD = 100
+SERVICES_PREFIX = "services/"
+ADDRESSES_PREFIX = "addresses/"
+
+
+@dataclass(slots=True)
+class Distribution:
+    """Holds the configuration and brings it to the peers' highest revision."""
+
+    state: State
+    _pulled_at: Millis = -PULL_PERIOD
+    _unreadable: set[str] = field(default_factory=set)
+
+    def is_reader(self) -> bool:
+        """Return whether this balancer reads the platform for its data centre."""
+        me = self.state.self_row
+        nearby = sorted(
+            row.member
+            for row in self.state.tables.live_members()
+            if row.data_centre == me.data_centre
+        )
+        return self.state.me in nearby[:N_READERS] or not nearby
+
+    def on_peer_revision(
+        self, member: MemberId, revision: int, address: Address
+    ) -> None:
+        """Note a peer's revision and ask for what is missing here."""
+        row = self.state.tables.members.get(member)
+        if row is not None:
+            row.config_revision = max(row.config_revision, revision)
+        if revision <= self.state.tables.config_revision:
+            return
+        if self.state.now - self._pulled_at >= PULL_PERIOD:
+            self._pulled_at = self.state.now
+            self.state.send(address, ConfigPull(self.state.tables.config_revision))
+
+    def on_pull(self, pull: ConfigPull, address: Address) -> None:
+        """Send entries above a revision, oldest first, as far as one message goes."""
+        newer = [
+            entry
+            for entry in self.state.tables.entries.values()
+            if entry.revision > pull.after
+        ]
+        newer.sort(key=lambda entry: entry.revision)
+        delta = ConfigDelta(pull.after, self.state.tables.config_revision)
+        size = 0
+        for entry in newer:
+            size += len(entry.value or "") + len(entry.key)
+            previous = delta.entries[-1].revision if delta.entries else 0
+            if previous and size > MAX_DELTA_BYTES and entry.revision != previous:
+                delta.upto = previous
+                break
+            delta.entries.append(_describe_entry(entry))
+        self.state.send(address, delta)
+
+    def on_delta(self, delta: ConfigDelta) -> None:
+        """Take in a peer's entries."""
+        entries = [
+            ConfigEntry(item.key, item.revision, None if item.deleted else item.value)
+            for item in delta.entries
+        ]
+        self.apply(delta.after, delta.upto, entries)
+        self._pulled_at = self.state.now - PULL_PERIOD
+
+    def apply(self, after: int, upto: int, entries: list[ConfigEntry]) -> bool:
+        """Swap in every entry in ``(after, upto]``; return whether it was news."""
+        tables = self.state.tables
+        if after > tables.config_revision or upto <= tables.config_revision:
+            return False
+        before = tables.config_revision
+        for entry in sorted(entries, key=lambda item: item.revision):
+            held = tables.entries.get(entry.key)
+            if held is None or held.revision < entry.revision:
+                tables.entries[entry.key] = entry
+                self._apply_entry(entry)
+        self._assign_addresses()
+        tables.config_revision = upto
+        self.state.self_row.config_revision = upto
+        if tables.config_revision < before:
+            raise InvariantViolated("configuration revision went down")
+        self.state.log("config_applied", revision=upto, n_entries=len(entries))
+        return True
+
+    def _apply_entry(self, entry: ConfigEntry) -> None:
+        if not entry.key.startswith(SERVICES_PREFIX):
+            return
+        service = ServiceId(entry.key.removeprefix(SERVICES_PREFIX))
+        if entry.value is None:
+            self._remove_service(service)
+            return
+        stored = parse_stored_service(entry.value)
+        if stored is None or stored.service.service != service:
+            self._unreadable.add(entry.key)
+            self.state.log("config_unreadable", key=entry.key, revision=entry.revision)
+            return
+        self._unreadable.discard(entry.key)
+        self._install_service(stored.service.to_spec(), entry.revision)
+
+    def _install_service(self, spec: ServiceSpec, revision: int) -> None:
+        row = self.state.tables.services.get(spec.service)
+        if row is None:
+            row = ServiceRow(spec, revision)
+            self.state.tables.services[spec.service] = row
+        row.spec = spec
+        row.revision = revision
+        refresh_desired(self.state, row)
+
+    def _assign_addresses(self) -> None:
+        """Give each address to the one service whose claim the store holds."""
+        tables = self.state.tables
+        tables.services_by_key = {}
+        for service, row in tables.services.items():
+            claim = tables.entries.get(address_claim_key(row.spec.key))
+            if claim is not None and claim.value == service:
+                tables.services_by_key[row.spec.key] = row
+            else:
+                self.state.log("address_not_claimed", service=service)
+
+    def _remove_service(self, service: ServiceId) -> None:
+        tables = self.state.tables
+        if tables.services.pop(service, None) is None:
+            return
+        for table in (tables.moves, tables.copies):
+            for key in [key for key in table if key[0] == service]:
+                del table[key]
+
+
+def address_claim_key(key: int) -> str:
+    """Return the name of the entry that says which service has an address."""
+    return f"{ADDRESSES_PREFIX}{key:x}"
+
+
+def refresh_desired(state: State, row: ServiceRow) -> None:
+    """Compute anew which backend servers accept flows and who gets which shard."""
+    active = [
+        server for server in row.spec.servers if server.state is ServerState.ACTIVE
+    ]
+    down = failed_servers(state)
+    healthy = [server for server in active if server.server not in down]
+    chosen = healthy or active
+    row.accepting = frozenset(server.server for server in chosen)
+    row.failed = down
+    row.desired = placement_table(*_servers_and_weights(chosen))
+    for shard in range(N_SHARDS):
+        refresh_fast_address(row, shard)
+
+
+def failed_servers(state: State) -> frozenset[ServerId]:
+    """Return the backend servers that a majority of their probers calls down."""
+    votes: dict[str, int] = {}
+    for member, down in state.tables.down_by_member.items():
+        row = state.tables.members.get(member)
+        if row is None or not row.is_present:
+            continue
+        for server in down:
+            votes[server] = votes.get(server, 0) + 1
+    n_needed = 2 if sum(1 for _ in state.tables.live_members()) > 1 else 1
+    return frozenset(
+        ServerId(server) for server, count in votes.items() if count >= n_needed
+    )
+
+
+def _servers_and_weights(
+    servers: list[BackendServerSpec],
+) -> tuple[list[ServerId], list[int]]:
+    return [item.server for item in servers], [item.weight for item in servers]
+
+
+def _describe_entry(entry: ConfigEntry) -> EntryState:
+    deleted = entry.value is None
+    return EntryState(entry.key, entry.revision, deleted, entry.value or "")
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_errors.py
@@ -0,0 +1,123 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class PacketAnswer(StrEnum):
+    """What a caller's packet gets when it is not forwarded."""
+
+    NONE = "none"
+    RESET = "reset"
+
+
+class ErrorKind(StrEnum):
+    """Every way in which the system refuses a packet, message or request."""
+
+    PACKET_TRUNCATED = "packet_truncated"
+    PACKET_OVERSIZED = "packet_oversized"
+    PACKET_NOT_IPV4 = "packet_not_ipv4"
+    PACKET_BAD_LENGTH = "packet_bad_length"
+    PACKET_HAS_OPTIONS = "packet_has_options"
+    PACKET_FRAGMENT = "packet_fragment"
+    PACKET_BAD_PROTOCOL = "packet_bad_protocol"
+    UNKNOWN_ADDRESS = "unknown_address"
+    NO_BACKEND_SERVER = "no_backend_server"
+    BACKEND_SERVER_DEAD = "backend_server_dead"
+    FLOW_REUSED = "flow_reused"
+    NO_OWNER = "no_owner"
+    HOP_LIMIT = "hop_limit"
+    NOT_READY = "not_ready"
+    QUEUE_FULL = "queue_full"
+    MESSAGE_MALFORMED = "message_malformed"
+    MESSAGE_BAD_VERSION = "message_bad_version"
+    MESSAGE_NOT_AUTHENTIC = "message_not_authentic"
+    MESSAGE_REPLAYED = "message_replayed"
+    INVALID_ARGUMENT = "invalid_argument"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    TOO_LARGE = "too_large"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What each side is told about an error.
+
+    Parameters
+    ----------
+    http_status : int
+        Status of the resource API.
+    exit_status : int
+        Exit status of the command line.
+    packet : PacketAnswer
+        Answer to the caller's packet.
+    """
+
+    http_status: int = 500
+    exit_status: int = 1
+    packet: PacketAnswer = PacketAnswer.NONE
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.PACKET_TRUNCATED: Answer(),
+    ErrorKind.PACKET_OVERSIZED: Answer(),
+    ErrorKind.PACKET_NOT_IPV4: Answer(),
+    ErrorKind.PACKET_BAD_LENGTH: Answer(),
+    ErrorKind.PACKET_HAS_OPTIONS: Answer(),
+    ErrorKind.PACKET_FRAGMENT: Answer(),
+    ErrorKind.PACKET_BAD_PROTOCOL: Answer(),
+    ErrorKind.UNKNOWN_ADDRESS: Answer(),
+    ErrorKind.NO_BACKEND_SERVER: Answer(503, 1, PacketAnswer.RESET),
+    ErrorKind.BACKEND_SERVER_DEAD: Answer(502, 1, PacketAnswer.RESET),
+    ErrorKind.FLOW_REUSED: Answer(503, 1, PacketAnswer.RESET),
+    ErrorKind.NO_OWNER: Answer(),
+    ErrorKind.HOP_LIMIT: Answer(),
+    ErrorKind.NOT_READY: Answer(503, 5),
+    ErrorKind.QUEUE_FULL: Answer(503, 5),
+    ErrorKind.MESSAGE_MALFORMED: Answer(400, 2),
+    ErrorKind.MESSAGE_BAD_VERSION: Answer(400, 2),
+    ErrorKind.MESSAGE_NOT_AUTHENTIC: Answer(401, 4),
+    ErrorKind.MESSAGE_REPLAYED: Answer(401, 4),
+    ErrorKind.INVALID_ARGUMENT: Answer(400, 2),
+    ErrorKind.UNAUTHENTICATED: Answer(401, 4),
+    ErrorKind.FORBIDDEN: Answer(403, 4),
+    ErrorKind.NOT_FOUND: Answer(404, 3),
+    ErrorKind.CONFLICT: Answer(409, 6),
+    ErrorKind.TOO_LARGE: Answer(413, 2),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(504, 7),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, 5),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, 8),
+    ErrorKind.INTERNAL: Answer(500, 1),
+}
+
+
+class StoattrayError(Exception):
+    """An error of a known kind with a reason for people.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Entry of the closed list.
+    reason : str
+        One sentence that names the offending value and what was expected.
+    """
+
+    def __init__(self, kind: ErrorKind, reason: str) -> None:
+        super().__init__(reason)
+        self.kind = kind
+        self.reason = reason
+
+    @property
+    def answer(self) -> Answer:
+        """Return the row of the answer table for this error."""
+        return ANSWERS[self.kind]
+
+
+class InvariantViolated(AssertionError):
+    """A property that must hold in every state did not hold."""
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_groups.py
@@ -0,0 +1,58 @@
+"""Packing of flows into message groups and back."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from stoattray_core._identifiers import (
+    FLOW_ID_BYTES,
+    FlowId,
+    ServerId,
+    ServiceId,
+)
+from stoattray_core.messages import FlowGroup
+
+MAX_GROUP_FLOWS = 8_000
+
+
+def pack_groups(
+    service: ServiceId, shard: int, flows: Mapping[FlowId, ServerId]
+) -> Iterator[FlowGroup]:
+    """Yield the flows of one bucket as one or more groups per backend server."""
+    by_server: dict[ServerId, list[FlowId]] = {}
+    for flow, server in flows.items():
+        by_server.setdefault(server, []).append(flow)
+    for server, members in by_server.items():
+        for start in range(0, len(members), MAX_GROUP_FLOWS):
+            packed = b"".join(members[start : start + MAX_GROUP_FLOWS])
+            yield FlowGroup(service, shard, server, packed)
+
+
+def unpack_group(group: FlowGroup) -> Iterator[FlowId]:
+    """Yield the flow ids of a group; a cut-off last one is passed over."""
+    flows = group.flows
+    for start in range(0, len(flows) - FLOW_ID_BYTES + 1, FLOW_ID_BYTES):
+        yield FlowId(flows[start : start + FLOW_ID_BYTES])
+
+
+def split_parts(
+    items: Iterable[tuple[object, int]], max_bytes: int
+) -> Iterator[list[object]]:
+    """Yield runs of items whose sizes in bytes add up to `max_bytes` at most.
+
+    Parameters
+    ----------
+    items : iterable of (item, size) pairs
+        An item larger than `max_bytes` makes a run of its own.
+    max_bytes : int
+        Bound of one run.
+    """
+    run: list[object] = []
+    size = 0
+    for item, item_size in items:
+        if run and size + item_size > max_bytes:
+            yield run
+            run = []
+            size = 0
+        run.append(item)
+        size += item_size
+    if run:
+        yield run
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_health.py
@@ -0,0 +1,94 @@
+"""Verdicts about backend servers: who probes, how verdicts change and spread."""
+
+from dataclasses import dataclass, field
+
+from stoattray_core._distribution import failed_servers, refresh_desired
+from stoattray_core._hashing import rank_members
+from stoattray_core._identifiers import (
+    Address,
+    MemberId,
+    Millis,
+    ServerId,
+    server_address,
+)
+from stoattray_core._state import State
+from stoattray_core.messages import Health
+
+N_PROBERS = 3
+N_FAILURES_FOR_DOWN = 3
+N_SUCCESSES_FOR_UP = 2
+SPREAD_PERIOD = 2_000
+
+
+@dataclass(slots=True)
+class _Verdict:
+    is_down: bool = False
+    n_against: int = 0
+
+
+@dataclass(slots=True)
+class HealthChecks:
+    """Collects probe results and the other probers' verdicts."""
+
+    state: State
+    _verdicts: dict[ServerId, _Verdict] = field(default_factory=dict)
+    _sent_at: Millis = 0
+    _sent: frozenset[str] = frozenset()
+    _in_force: frozenset[ServerId] = frozenset()
+
+    def targets(self) -> list[tuple[ServerId, Address]]:
+        """Return the backend servers that this balancer probes, with endpoints."""
+        members = [row.member for row in self.state.tables.live_members()]
+        chosen: list[tuple[ServerId, Address]] = []
+        for row in self.state.tables.services.values():
+            for item in row.spec.servers:
+                if item.health_port is None:
+                    continue
+                ranked = rank_members(hash_seed(item.server), members)
+                if self.state.me in ranked[:N_PROBERS]:
+                    host = server_address(item.server)[0]
+                    chosen.append((item.server, (host, item.health_port)))
+        return chosen
+
+    def on_probe_result(self, server: ServerId, is_up: bool) -> None:
+        """Take in one probe; a verdict changes after several results against it."""
+        verdict = self._verdicts.setdefault(server, _Verdict())
+        if is_up is not verdict.is_down:
+            verdict.n_against = 0
+            return
+        verdict.n_against += 1
+        limit = N_SUCCESSES_FOR_UP if verdict.is_down else N_FAILURES_FOR_DOWN
+        if verdict.n_against >= limit:
+            verdict.is_down = not verdict.is_down
+            verdict.n_against = 0
+
+    def on_health(self, health: Health, sender: MemberId) -> None:
+        """Take in another prober's verdicts."""
+        self.state.tables.down_by_member[sender] = frozenset(health.down)
+
+    def tick(self) -> None:
+        """Spread this balancer's verdicts and put the majority's into force."""
+        probed = {server for server, _ in self.targets()}
+        down = frozenset(
+            server
+            for server, verdict in self._verdicts.items()
+            if verdict.is_down and server in probed
+        )
+        self.state.tables.down_by_member[self.state.me] = down
+        is_due = self.state.now - self._sent_at >= SPREAD_PERIOD
+        if down != self._sent or (is_due and down):
+            self._sent = down
+            self._sent_at = self.state.now
+            for row in self.state.others():
+                self.state.send(row.peer_address, Health(sorted(down)))
+        failed = failed_servers(self.state)
+        if failed != self._in_force:
+            self._in_force = failed
+            self.state.log("failed_servers", servers=",".join(sorted(failed)))
+            for row in self.state.tables.services.values():
+                refresh_desired(self.state, row)
+
+
+def hash_seed(server: ServerId) -> int:
+    """Return a number that spreads backend servers over probers."""
+    return sum(server.encode()) * len(server)
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_identifiers.py
@@ -0,0 +1,41 @@
+"""Names and units that every other module uses."""
+
+from typing import NewType
+
+MemberId = NewType("MemberId", str)
+"""Name of one balancer VM, unique within the system."""
+
+ServiceId = NewType("ServiceId", str)
+"""Full name of a service: ``organisation/service``."""
+
+ServerId = NewType("ServerId", str)
+"""A backend server with its data address: ``name@host:port``."""
+
+FlowId = NewType("FlowId", bytes)
+"""Caller address (4 bytes) and caller port (2 bytes), unique within a service."""
+
+Millis = int
+"""A point in time or a duration in milliseconds of a monotonic clock."""
+
+Address = tuple[str, int]
+"""A host and a port, in the shape that the socket module takes."""
+
+FLOW_ID_BYTES = 6
+N_SHARDS = 251
+"""Parts of the flow space; a prime, as the placement table requires."""
+
+
+def server_id(name: str, host: str, port: int) -> ServerId:
+    """Return the id of the backend server `name` at ``host:port``."""
+    return ServerId(f"{name}@{host}:{port}")
+
+
+def server_name(server: ServerId) -> str:
+    """Return the name part of a backend server id."""
+    return server.partition("@")[0]
+
+
+def server_address(server: ServerId) -> Address:
+    """Return the data address that a backend server id carries."""
+    host, _, port = server.rpartition("@")[2].rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_joining.py
@@ -0,0 +1,153 @@
+"""Joining: a balancer learns from all others before it decides anything.
+
+Invariant: whoever counts as live has been registered by every live balancer
+before it received their state, so that no later change can pass it by.
+"""
+
+from dataclasses import dataclass, field
+
+from stoattray_core._buckets import (
+    apply_buckets,
+    apply_shards,
+    describe_shard,
+    known_buckets,
+    split_buckets,
+)
+from stoattray_core._identifiers import N_SHARDS, Address, MemberId, Millis
+from stoattray_core._membership import Membership, describe_member
+from stoattray_core._state import State
+from stoattray_core._tables import MemberRow, MemberStatus
+from stoattray_core.messages import Join, JoinReply
+
+JOIN_PERIOD = 200
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    incarnation: int
+    is_serving: bool
+
+
+@dataclass(slots=True)
+class Joining:
+    """Asks every balancer for its state until all have answered."""
+
+    state: State
+    membership: Membership
+    _incarnation: int = -1
+    _first_request: int = 0
+    _started_at: Millis = 0
+    _asked_at: Millis = 0
+    _parts: dict[tuple[MemberId, int], set[int]] = field(default_factory=dict)
+    _answers: dict[MemberId, _Answer] = field(default_factory=dict)
+
+    def tick(self) -> None:
+        """Ask again while joining, and become live when all have answered."""
+        row = self.state.self_row
+        if row.status is not MemberStatus.JOINING:
+            return
+        if row.incarnation != self._incarnation:
+            self._start(row.incarnation)
+        elif self.state.now - self._asked_at >= JOIN_PERIOD:
+            self._ask()
+        if self._may_become_live():
+            self._become_live()
+
+    def on_join(self, join: Join, address: Address) -> None:
+        """Register the sender and send it what this balancer knows."""
+        self.membership.merge_one(join.sender)
+        self._send_reply(join.request, address)
+
+    def on_reply(self, reply: JoinReply) -> None:
+        """Take in one part of a balancer's state."""
+        self.membership.merge(reply.members)
+        self.membership.merge_one(reply.sender)
+        is_current = reply.request >= self._first_request > 0
+        is_joining = self.state.self_row.status is MemberStatus.JOINING
+        is_ahead = reply.sender.config_revision > self.state.tables.config_revision
+        if not is_current or not is_joining or is_ahead:
+            return
+        apply_shards(self.state, reply.shards)
+        apply_buckets(self.state, reply.buckets, reply.pins)
+        self._note_part(reply)
+
+    def _note_part(self, reply: JoinReply) -> None:
+        member = MemberId(reply.sender.member)
+        parts = self._parts.setdefault((member, reply.request), set())
+        parts.add(reply.part)
+        if len(parts) == reply.n_parts:
+            is_serving = reply.sender.status != MemberStatus.JOINING
+            answer = _Answer(reply.sender.incarnation, is_serving)
+            self._answers[member] = answer
+
+    def _start(self, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._started_at = self.state.now
+        self._answers = {}
+        self._parts = {}
+        self._first_request = self.state.requests.next_number()
+        self._ask()
+
+    def _ask(self) -> None:
+        """Ask with a new number, so that parts of two answers never mix."""
+        self._asked_at = self.state.now
+        request = self.state.requests.next_number()
+        rows = self.state.others()
+        addresses = {row.peer_address for row in rows if not self._has_answered(row)}
+        known = {row.peer_address for row in rows}
+        addresses.update(set(self.state.seeds) - known)
+        addresses.discard(self.state.self_row.peer_address)
+        for address in sorted(addresses):
+            self.state.send(address, Join(request, self.membership.own_state()))
+
+    def _may_become_live(self) -> bool:
+        rows = self.state.others()
+        if not all(self._has_answered(row) for row in rows):
+            return False
+        if any(row.status is not MemberStatus.JOINING for row in rows):
+            highest = max(row.config_revision for row in rows)
+            return self.state.tables.config_revision >= highest
+        waited = self.state.now - self._started_at
+        if waited < self.state.settings.bootstrap_wait:
+            return False
+        first = min(row.member for row in self.state.tables.present_members())
+        return self.state.me == first
+
+    def _has_answered(self, row: MemberRow) -> bool:
+        answer = self._answers.get(row.member)
+        if answer is None or answer.incarnation != row.incarnation:
+            return False
+        return answer.is_serving or row.status is MemberStatus.JOINING
+
+    def _become_live(self) -> None:
+        self._first_request = 0
+        self._answers = {}
+        self._parts = {}
+        self.membership.set_own_status(MemberStatus.LIVE)
+
+    def _send_reply(self, request: int, address: Address) -> None:
+        state = self.state
+        sender = self.membership.own_state()
+        members = [describe_member(row) for row in state.tables.members.values()]
+        shards = []
+        parts = list(split_buckets((), state.tables.services))
+        if state.is_ready:
+            shards = [
+                describe_shard(state, shard)
+                for shard in range(N_SHARDS)
+                if state.tables.shards[shard].owner is not None
+            ]
+            parts = list(split_buckets(known_buckets(state), state.tables.services))
+        for number, part in enumerate(parts):
+            is_first = number == 0
+            reply = JoinReply(
+                request=request,
+                part=number,
+                n_parts=len(parts),
+                sender=sender,
+                members=members if is_first else [],
+                shards=shards if is_first else [],
+                buckets=part.buckets,
+                pins=part.pins,
+            )
+            state.send(address, reply)
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_packet.py
@@ -0,0 +1,136 @@
+"""Reading the headers of one IPv4 packet.
+
+The offsets are those of RFC 791 (IPv4), RFC 9293 (TCP) and RFC 768 (UDP).
+"""
+
+import struct
+from dataclasses import dataclass
+
+from stoattray_core._identifiers import FlowId
+from stoattray_core._sentinel import (
+    BAD_LENGTH,
+    BAD_PROTOCOL,
+    FRAGMENT,
+    HAS_OPTIONS,
+    NOT_IPV4,
+    OVERSIZED,
+    TRUNCATED,
+    Refused,
+)
+
+TCP = 6
+UDP = 17
+
+MAX_PACKET_BYTES = 9_216
+MIN_PACKET_BYTES = 28
+IPV4_HEADER_BYTES = 20
+TCP_HEADER_BYTES = 20
+UDP_HEADER_BYTES = 8
+VERSION_4_NO_OPTIONS = 0x45
+FRAGMENT_MASK = 0x3FFF
+
+FLAG_FIN = 0x01
+FLAG_SYN = 0x02
+FLAG_RST = 0x04
+FLAG_ACK = 0x10
+
+HEADER = struct.Struct("!BxHxxHxBxxIIHH")
+"""Version, length, fragment, protocol, source, destination, two ports."""
+
+_UDP_LENGTH = struct.Struct("!H")
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """What the slow path needs to know about one packet.
+
+    Parameters
+    ----------
+    data : bytes
+        The whole IPv4 packet.
+    service_key : int
+        Destination address, port and protocol, see :func:`service_key`.
+    flow : FlowId
+        Caller address and port.
+    opening : bool
+        Whether this packet opens a flow (TCP SYN without ACK).
+    ending : bool
+        Whether the caller ends its side of the flow (TCP FIN or RST).
+    has_content : bool
+        Whether there are payload bytes.
+    """
+
+    data: bytes
+    service_key: int
+    flow: FlowId
+    opening: bool
+    ending: bool
+    has_content: bool
+
+
+def service_key(destination: int, port: int, protocol: int) -> int:
+    """Return the key of an address: 32 bits address, 16 port, 8 protocol."""
+    return (destination << 24) | (port << 8) | protocol
+
+
+def check_header(data: bytes) -> Refused | None:
+    """Return why `data` is not a packet that can be forwarded, else None."""
+    size = len(data)
+    if size < MIN_PACKET_BYTES:
+        return TRUNCATED
+    if size > MAX_PACKET_BYTES:
+        return OVERSIZED
+    version, length, fragment, protocol, *_ = HEADER.unpack_from(data)
+    if version >> 4 != 4:
+        return NOT_IPV4
+    if version != VERSION_4_NO_OPTIONS:
+        return HAS_OPTIONS if version > VERSION_4_NO_OPTIONS else BAD_LENGTH
+    if length != size:
+        return TRUNCATED if length > size else BAD_LENGTH
+    if fragment & FRAGMENT_MASK:
+        return FRAGMENT
+    if protocol == TCP:
+        return _check_tcp(data)
+    if protocol == UDP:
+        return _check_udp(data)
+    return BAD_PROTOCOL
+
+
+def _check_tcp(data: bytes) -> Refused | None:
+    if len(data) < IPV4_HEADER_BYTES + TCP_HEADER_BYTES:
+        return TRUNCATED
+    header_bytes = (data[32] >> 4) * 4
+    if header_bytes < TCP_HEADER_BYTES:
+        return BAD_LENGTH
+    if IPV4_HEADER_BYTES + header_bytes > len(data):
+        return BAD_LENGTH
+    return None
+
+
+def _check_udp(data: bytes) -> Refused | None:
+    (length,) = _UDP_LENGTH.unpack_from(data, 24)
+    return None if length == len(data) - IPV4_HEADER_BYTES else BAD_LENGTH
+
+
+def read_packet(data: bytes) -> Packet | Refused:
+    """Return the fields of `data`, or why it is refused."""
+    refused = check_header(data)
+    if refused is not None:
+        return refused
+    _, _, _, protocol, _, destination, _, port = HEADER.unpack_from(data)
+    if protocol == TCP:
+        flags = data[33]
+        opening = flags & (FLAG_SYN | FLAG_ACK) == FLAG_SYN
+        ending = bool(flags & (FLAG_FIN | FLAG_RST))
+        has_content = len(data) > IPV4_HEADER_BYTES + (data[32] >> 4) * 4
+    else:
+        opening = ending = False
+        has_content = len(data) > IPV4_HEADER_BYTES + UDP_HEADER_BYTES
+    return Packet(
+        data=data,
+        service_key=service_key(destination, port, protocol),
+        flow=FlowId(data[12:16] + data[20:22]),
+        opening=opening,
+        ending=ending,
+        has_content=has_content,
+    )
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_routing.py
@@ -0,0 +1,233 @@
+"""The way of one packet through this balancer.
+
+The fast path answers from one table look-up where a bucket is settled and has
+no pinned flows; everything else is decided here step by step.
+"""
+
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from stoattray_core._errors import ErrorKind
+from stoattray_core._hashing import shard_of
+from stoattray_core._identifiers import (
+    N_SHARDS,
+    Address,
+    MemberId,
+    ServerId,
+    server_address,
+)
+from stoattray_core._moves import Moves
+from stoattray_core._ownership import HeldPacket, Ownership
+from stoattray_core._packet import (
+    FRAGMENT_MASK,
+    HEADER,
+    MAX_PACKET_BYTES,
+    TCP,
+    UDP,
+    VERSION_4_NO_OPTIONS,
+    Packet,
+    check_header,
+    read_packet,
+)
+from stoattray_core._sentinel import Refused
+from stoattray_core._state import State
+from stoattray_core._tables import Bucket, ServiceRow
+from stoattray_core.outputs import Forward, Relay
+
+MIN_TCP_PACKET_BYTES = 40
+
+
+@dataclass(slots=True)
+class Routing:
+    """Decides for each packet where it goes."""
+
+    state: State
+    ownership: Ownership
+    moves: Moves
+
+    def fast_address(self, data: bytes) -> Address | None:
+        """Return the backend server's address if no further decision is needed.
+
+        Parameters
+        ----------
+        data : bytes
+            One IPv4 packet.
+
+        Returns
+        -------
+        Address or None
+            None means that :meth:`on_packet` has to decide.
+        """
+        size = len(data)
+        if size < MIN_TCP_PACKET_BYTES or size > MAX_PACKET_BYTES:
+            return None
+        version, length, fragment, protocol, _, destination, _, port = (
+            HEADER.unpack_from(data)
+        )
+        if (
+            version != VERSION_4_NO_OPTIONS
+            or length != size
+            or fragment & FRAGMENT_MASK
+            or protocol != TCP
+            or data[32] < 0x50
+            or 20 + (data[32] >> 4) * 4 > size
+        ):
+            return None
+        row = self.state.tables.services_by_key.get(
+            destination << 24 | port << 8 | protocol
+        )
+        if row is None:
+            return None
+        return row.fast_addresses[
+            xxh3_64_intdigest(data[12:16] + data[20:22]) % N_SHARDS
+        ]
+
+    def on_packet(
+        self, data: bytes, hops: int = 0, ingress: MemberId | None = None
+    ) -> None:
+        """Forward, relay, hold or refuse one packet.
+
+        Parameters
+        ----------
+        data : bytes
+            One IPv4 packet.
+        hops : int
+            Balancers that the packet has already passed.
+        ingress : MemberId or None
+            Balancer that relayed the packet; None if the fabric delivered it.
+        """
+        if not self.state.is_ready:
+            self._pass_on(data, hops)
+            return
+        packet = read_packet(data)
+        if isinstance(packet, Refused):
+            self.state.refuse(packet.kind, data)
+            return
+        row = self.state.tables.services_by_key.get(packet.service_key)
+        if row is None:
+            self.state.refuse(ErrorKind.UNKNOWN_ADDRESS, data)
+            return
+        self._route(packet, row, hops, ingress)
+
+    def route_released(self) -> None:
+        """Decide about packets that have waited for a change of owner."""
+        for held in self.ownership.take_released():
+            self.on_packet(held.data, held.hops, held.ingress)
+
+    def _route(
+        self, packet: Packet, row: ServiceRow, hops: int, ingress: MemberId | None
+    ) -> None:
+        shard = shard_of(packet.flow)
+        bucket = row.buckets[shard]
+        if bucket is not None:
+            if row.spec.protocol == UDP:
+                bucket.used.add(packet.flow)
+            server = self._known_server(packet, row, bucket)
+            if server is not None:
+                self._forward(packet, row, server)
+                return
+        if self._may_decide(packet, shard):
+            self._decide(packet, row, shard, ingress)
+        elif self.ownership.is_changing(shard):
+            self.ownership.hold(shard, HeldPacket(packet.data, hops, ingress))
+        else:
+            self._relay(packet.data, shard, hops)
+
+    def _known_server(
+        self, packet: Packet, row: ServiceRow, bucket: Bucket
+    ) -> ServerId | None:
+        """Return where the flow is if this balancer can tell without the owner."""
+        flow = packet.flow
+        pinned = bucket.pins.get(flow)
+        if pinned is not None:
+            if packet.opening and pinned not in row.accepting:
+                return None
+            bucket.used.add(flow)
+            return pinned
+        if not bucket.tracked:
+            return self._settled_server(packet, row, bucket)
+        if packet.opening:
+            return None
+        hinted = bucket.hints.get(flow)
+        if hinted is not None:
+            bucket.used.add(flow)
+            if packet.ending:
+                del bucket.hints[flow]
+                return None
+        return hinted
+
+    def _settled_server(
+        self, packet: Packet, row: ServiceRow, bucket: Bucket
+    ) -> ServerId | None:
+        shard = shard_of(packet.flow)
+        if (row.spec.service, shard) in self.state.tables.moves:
+            return None
+        if bucket.base in row.failed and packet.opening:
+            return None
+        return bucket.base
+
+    def _may_decide(self, packet: Packet, shard: int) -> bool:
+        if packet.opening:
+            return self.ownership.is_owner(shard)
+        return self.ownership.knows_flows(shard)
+
+    def _decide(
+        self, packet: Packet, row: ServiceRow, shard: int, ingress: MemberId | None
+    ) -> None:
+        if packet.opening or self._opens_without_syn(packet, row, shard):
+            kind = self.moves.on_opening(row, shard, packet.flow, packet.data)
+            if kind is not None:
+                self.state.refuse(kind, packet.data)
+            return
+        if row.buckets[shard] is None and not row.desired:
+            self.state.refuse(ErrorKind.NO_BACKEND_SERVER, packet.data)
+            return
+        server = self.moves.on_other(
+            row, shard, packet.flow, packet.data, ingress, packet.ending
+        )
+        if server is not None:
+            self._forward(packet, row, server)
+
+    def _opens_without_syn(self, packet: Packet, row: ServiceRow, shard: int) -> bool:
+        """Return whether an unknown UDP flow is new, which the owner can tell."""
+        if row.spec.protocol != UDP:
+            return False
+        move = self.state.tables.moves.get((row.spec.service, shard))
+        if move is None or move.ready_at is None:
+            return False
+        return packet.flow not in move.records
+
+    def _forward(self, packet: Packet, row: ServiceRow, server: ServerId) -> None:
+        if server in row.failed:
+            self.state.refuse(ErrorKind.BACKEND_SERVER_DEAD, packet.data)
+            return
+        self.state.emit(Forward(server_address(server), packet.data))
+
+    def _relay(self, data: bytes, shard: int, hops: int) -> None:
+        if hops >= self.state.settings.max_hops:
+            self.state.refuse(ErrorKind.HOP_LIMIT, data)
+            return
+        owner = self.ownership.owner_row(shard)
+        if owner is None:
+            self.state.refuse(ErrorKind.NO_OWNER, data)
+            return
+        self.state.counters["packets_relayed"] += 1
+        self.state.emit(Relay(owner.relay_address, hops + 1, data))
+
+    def _pass_on(self, data: bytes, hops: int) -> None:
+        """Hand a packet to a live balancer while this one may not decide."""
+        if check_header(data) is not None or hops >= self.state.settings.max_hops:
+            self.state.refuse(ErrorKind.NOT_READY, data)
+            return
+        live = [
+            row
+            for row in self.state.tables.live_members()
+            if row.member != self.state.me
+        ]
+        if not live:
+            self.state.refuse(ErrorKind.NOT_READY, data)
+            return
+        chosen = live[self.state.now % len(live)]
+        self.state.counters["packets_relayed"] += 1
+        self.state.emit(Relay(chosen.relay_address, hops + 1, data))
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_sentinel.py
@@ -0,0 +1,34 @@
+"""Sentinel values that carry the reason for a missing result."""
+
+from dataclasses import dataclass
+
+from stoattray_core._errors import ErrorKind
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Stands in for a result that could not be given.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Why there is no result.
+    detail : str
+        What was seen, for a log line; may be empty.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+
+    def __bool__(self) -> bool:
+        return False
+
+
+TRUNCATED = Refused(ErrorKind.PACKET_TRUNCATED)
+OVERSIZED = Refused(ErrorKind.PACKET_OVERSIZED)
+NOT_IPV4 = Refused(ErrorKind.PACKET_NOT_IPV4)
+BAD_LENGTH = Refused(ErrorKind.PACKET_BAD_LENGTH)
+HAS_OPTIONS = Refused(ErrorKind.PACKET_HAS_OPTIONS)
+FRAGMENT = Refused(ErrorKind.PACKET_FRAGMENT)
+BAD_PROTOCOL = Refused(ErrorKind.PACKET_BAD_PROTOCOL)
+UNKNOWN_ADDRESS = Refused(ErrorKind.UNKNOWN_ADDRESS)
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_state.py
@@ -0,0 +1,60 @@
+"""The state that the systems of one balancer share."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from stoattray_core._errors import ErrorKind
+from stoattray_core._identifiers import Address, MemberId, Millis
+from stoattray_core._requests import PendingRequests
+from stoattray_core._settings import CoreSettings
+from stoattray_core._tables import MemberRow, MemberStatus, Tables
+from stoattray_core.messages import Message
+from stoattray_core.outputs import Event, Output, Reject, Send
+
+
+@dataclass(slots=True)
+class State:
+    """Tables, time, randomness and outputs of one balancer."""
+
+    me: MemberId
+    settings: CoreSettings
+    random: Random
+    now: Millis
+    seeds: tuple[Address, ...]
+    tables: Tables = field(default_factory=Tables)
+    outbox: list[Output] = field(default_factory=list)
+    counters: Counter[str] = field(default_factory=Counter)
+    requests: PendingRequests = field(default_factory=PendingRequests)
+    membership_version: int = 0
+
+    @property
+    def self_row(self) -> MemberRow:
+        """Return this balancer's own row."""
+        return self.tables.members[self.me]
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this balancer may decide about flows."""
+        return self.self_row.status in (MemberStatus.LIVE, MemberStatus.LEAVING)
+
+    def emit(self, output: Output) -> None:
+        """Queue an output."""
+        self.outbox.append(output)
+
+    def send(self, address: Address, message: Message) -> None:
+        """Queue a message to another balancer."""
+        self.outbox.append(Send(address, message))
+
+    def log(self, name: str, **fields: str | int | float | bool) -> None:
+        """Queue a log event."""
+        self.outbox.append(Event(name, fields))
+
+    def refuse(self, kind: ErrorKind, data: bytes) -> None:
+        """Count and answer a packet that is not forwarded."""
+        self.counters[kind] += 1
+        self.outbox.append(Reject(kind, data))
+
+    def others(self) -> list[MemberRow]:
+        """Return every other balancer that may still forward packets."""
+        return [row for row in self.tables.present_members() if row.member != self.me]
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_tables.py
@@ -0,0 +1,165 @@
+"""Tables of the decision core: rows by id, no behaviour beyond look-up."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from stoattray_core._identifiers import (
+    N_SHARDS,
+    Address,
+    FlowId,
+    MemberId,
+    Millis,
+    ServerId,
+    ServiceId,
+)
+from stoattray_core.configuration import ConfigEntry, ServiceSpec
+
+
+class MemberStatus(IntEnum):
+    """Life of one incarnation of a balancer; a later value wins."""
+
+    JOINING = 0
+    LIVE = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(slots=True)
+class MemberRow:
+    """One balancer as this one knows it."""
+
+    member: MemberId
+    host: str
+    peer_port: int
+    relay_port: int
+    api_port: int
+    data_centre: str
+    incarnation: int
+    status: MemberStatus
+    config_revision: int = 0
+    suspect_since: Millis | None = None
+    heard_at: Millis = 0
+    changed_at: Millis = 0
+
+    @property
+    def peer_address(self) -> Address:
+        """Return where messages go."""
+        return self.host, self.peer_port
+
+    @property
+    def relay_address(self) -> Address:
+        """Return where packets go."""
+        return self.host, self.relay_port
+
+    @property
+    def is_present(self) -> bool:
+        """Return whether the balancer may still forward packets."""
+        return self.status is not MemberStatus.DEAD
+
+
+@dataclass(slots=True)
+class ShardRow:
+    """Acting owner of one shard."""
+
+    epoch: int = 0
+    owner: MemberId | None = None
+
+    @property
+    def order(self) -> tuple[int, str]:
+        """Return the key by which the later of two claims is found."""
+        return self.epoch, self.owner or ""
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Placement of one shard of one service, alike on every balancer.
+
+    Flows in ``pins`` stay at the named backend server. All others are at
+    ``base``, unless the bucket is tracked: then the owner's records go first.
+    """
+
+    epoch: int
+    version: int
+    tracked: bool
+    base: ServerId
+    pins: dict[FlowId, ServerId] = field(default_factory=dict)
+    hints: dict[FlowId, ServerId] = field(default_factory=dict)
+    used: set[FlowId] = field(default_factory=set)
+    used_before: set[FlowId] = field(default_factory=set)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the key by which the later of two states is found."""
+        return self.epoch, self.version
+
+
+@dataclass(slots=True)
+class ServiceRow:
+    """A service and the placement of its flows."""
+
+    spec: ServiceSpec
+    revision: int
+    fast_addresses: list[Address | None] = field(
+        default_factory=lambda: [None] * N_SHARDS
+    )
+    buckets: list[Bucket | None] = field(default_factory=lambda: [None] * N_SHARDS)
+    desired: list[ServerId] = field(default_factory=list)
+    accepting: frozenset[ServerId] = frozenset()
+    failed: frozenset[ServerId] = frozenset()
+    loads: dict[MemberId, dict[ServerId, int]] = field(default_factory=dict)
+    tracking_stopped_at: Millis | None = None
+
+
+@dataclass(slots=True)
+class FlowRecord:
+    """A flow that its owner follows."""
+
+    server: ServerId
+    seen_at: Millis
+    n_relayed: int = 0
+    n_copies_pending: int = 0
+    is_ended: bool = False
+    is_hinted: bool = False
+    held: list[bytes] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Move:
+    """The owner's state of a tracked bucket."""
+
+    started_at: Millis
+    is_planned: bool
+    ready_at: Millis | None = None
+    announcement: int = 0
+    is_settling: bool = False
+    records: dict[FlowId, FlowRecord] = field(default_factory=dict)
+    held: list[bytes] = field(default_factory=list)
+
+
+BucketKey = tuple[ServiceId, int]
+
+
+@dataclass(slots=True)
+class Tables:
+    """Every table of the core."""
+
+    members: dict[MemberId, MemberRow] = field(default_factory=dict)
+    shards: list[ShardRow] = field(
+        default_factory=lambda: [ShardRow() for _ in range(N_SHARDS)]
+    )
+    services: dict[ServiceId, ServiceRow] = field(default_factory=dict)
+    services_by_key: dict[int, ServiceRow] = field(default_factory=dict)
+    moves: dict[BucketKey, Move] = field(default_factory=dict)
+    copies: dict[BucketKey, dict[FlowId, ServerId]] = field(default_factory=dict)
+    entries: dict[str, ConfigEntry] = field(default_factory=dict)
+    config_revision: int = 0
+    down_by_member: dict[MemberId, frozenset[str]] = field(default_factory=dict)
+
+    def present_members(self) -> Iterator[MemberRow]:
+        """Yield each balancer that may still forward packets."""
+        return (row for row in self.members.values() if row.is_present)
+
+    def live_members(self) -> Iterator[MemberRow]:
+        """Yield each balancer that may own shards."""
+        return (row for row in self.members.values() if row.status is MemberStatus.LIVE)
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/configuration.py
@@ -0,0 +1,92 @@
+"""The declared configuration as the decision core holds it."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from stoattray_core._identifiers import Millis, ServerId, ServiceId
+
+
+class Policy(StrEnum):
+    """What a service gives up last when it can't have both."""
+
+    CONTINUITY = "continuity"
+    BALANCE = "balance"
+
+
+class ServerState(StrEnum):
+    """Declared state of a backend server."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigEntry:
+    """One entry of the platform's store.
+
+    Parameters
+    ----------
+    key : str
+        Name of the entry: ``services/<organisation>/<service>``.
+    revision : int
+        Revision of the store at which the entry was last written.
+    value : str or None
+        JSON text, or None when the entry was deleted.
+    """
+
+    key: str
+    revision: int
+    value: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServerSpec:
+    """A declared backend server.
+
+    Parameters
+    ----------
+    server : ServerId
+        Name and data address.
+    state : ServerState
+        Whether it takes new flows.
+    weight : int
+        Relative share of new flows, from 1 to 100.
+    health_port : int or None
+        TCP port that is probed; None means no probing.
+    max_connections : int
+        Most open flows that the host takes.
+    """
+
+    server: ServerId
+    state: ServerState = ServerState.ACTIVE
+    weight: int = 1
+    health_port: int | None = None
+    max_connections: int = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A declared service.
+
+    Parameters
+    ----------
+    service : ServiceId
+        ``organisation/service``.
+    key : int
+        Address, port and protocol, see ``service_key``.
+    protocol : int
+        IP protocol number, TCP or UDP.
+    policy : Policy
+        What is given up last.
+    idle_limit : Millis
+        A flow that is silent for longer may lose its place.
+    servers : tuple of BackendServerSpec
+        All declared backend servers.
+    """
+
+    service: ServiceId
+    key: int
+    protocol: int
+    policy: Policy = Policy.CONTINUITY
+    idle_limit: Millis = 300_000
+    servers: tuple[BackendServerSpec, ...] = field(default=())
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -0,0 +1,323 @@
+"""The decision core of one balancer: typed input in, typed output out."""
+
+from dataclasses import dataclass
+from random import Random
+
+from stoattray_core._distribution import Distribution
+from stoattray_core._health import HealthChecks
+from stoattray_core._identifiers import N_SHARDS, Address, MemberId, Millis, ServerId
+from stoattray_core._invariants import check_tables
+from stoattray_core._joining import Joining
+from stoattray_core._loads import LoadExchange
+from stoattray_core._membership import Membership
+from stoattray_core._moves import Moves
+from stoattray_core._ownership import Ownership
+from stoattray_core._requests import PendingRequests
+from stoattray_core._routing import Routing
+from stoattray_core._settings import CoreSettings
+from stoattray_core._state import State
+from stoattray_core._tables import MemberRow, MemberStatus, Tables
+from stoattray_core._updates import BucketUpdates
+from stoattray_core.configuration import ConfigEntry
+from stoattray_core.messages import (
+    Ack,
+    BucketUpdate,
+    ConfigDelta,
+    ConfigPull,
+    CopyRecords,
+    Done,
+    Gather,
+    GatherReply,
+    Handover,
+    Health,
+    Hint,
+    Join,
+    JoinReply,
+    Loads,
+    Message,
+    Ping,
+    PingRequest,
+    Seen,
+)
+from stoattray_core.outputs import Output
+
+REQUEST_NUMBER_BITS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a balancer is and where it listens.
+
+    Parameters
+    ----------
+    member : MemberId
+        Unique name.
+    host : str
+        IP number.
+    peer_port, relay_port, api_port : int
+        UDP port of messages, UDP port of relayed packets, TCP port of the API.
+    data_centre : str
+        Name of the data centre.
+    incarnation : int
+        Higher than that of any earlier process of this name.
+    """
+
+    member: MemberId
+    host: str
+    peer_port: int
+    relay_port: int
+    api_port: int
+    data_centre: str
+    incarnation: int
+
+
+class Core:
+    """Decides everything that one balancer does.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this balancer is.
+    seeds : tuple of Address
+        Peer addresses that are asked first.
+    settings : CoreSettings
+        Timing and limits.
+    random : Random
+        Source of randomness.
+    now : Millis
+        Current time.
+
+    Notes
+    -----
+    The core has no sockets and no clock. Each input method is given the time
+    or uses that of the last tick; what is to be done gathers until
+    :meth:`take_outputs`.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        seeds: tuple[Address, ...],
+        settings: CoreSettings,
+        random: Random,
+        now: Millis,
+    ) -> None:
+        self._state = State(
+            me=identity.member,
+            settings=settings,
+            random=random,
+            now=now,
+            seeds=seeds,
+            requests=PendingRequests(
+                _last_number=random.getrandbits(REQUEST_NUMBER_BITS)
+            ),
+        )
+        self._state.tables.members[identity.member] = _own_row(identity)
+        self._membership = Membership(self._state)
+        self._distribution = Distribution(self._state)
+        self._joining = Joining(self._state, self._membership)
+        self._ownership = Ownership(self._state)
+        self._moves = Moves(self._state, self._ownership)
+        self._routing = Routing(self._state, self._ownership, self._moves)
+        self._updates = BucketUpdates(self._state)
+        self._health = HealthChecks(self._state)
+        self._loads = LoadExchange(self._state)
+        self._leaving_since: Millis | None = None
+        self.fast_address = self._routing.fast_address
+
+    @property
+    def tables(self) -> Tables:
+        """Return the tables, to be read only."""
+        return self._state.tables
+
+    @property
+    def counters(self) -> dict[str, int]:
+        """Return counts by name since the start."""
+        return self._state.counters
+
+    @property
+    def status(self) -> MemberStatus:
+        """Return this balancer's own status."""
+        return self._state.self_row.status
+
+    @property
+    def config_revision(self) -> int:
+        """Return the revision of the configuration in force here."""
+        return self._state.tables.config_revision
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this balancer reads the platform."""
+        return self._distribution.is_reader()
+
+    @property
+    def has_left(self) -> bool:
+        """Return whether a leaving balancer owns nothing and may stop."""
+        if self._leaving_since is None:
+            return False
+        age = self._state.now - self._leaving_since
+        if age < self._state.settings.leave_grace:
+            return False
+        is_alone = not any(
+            row.member != self._state.me for row in self.tables.live_members()
+        )
+        return is_alone or not any(self._owned())
+
+    def on_packet(self, data: bytes) -> None:
+        """Decide about a packet from the fabric."""
+        self._routing.on_packet(data)
+
+    def on_relayed(self, data: bytes, hops: int, sender: Address) -> None:
+        """Decide about a packet that another balancer has relayed."""
+        ingress = next(
+            (row.member for row in self._state.others() if row.relay_address == sender),
+            None,
+        )
+        if ingress is None:
+            self._state.counters["relayed_by_stranger"] += 1
+            return
+        self._routing.on_packet(data, hops, ingress)
+
+    def on_message(self, message: Message, sender: MemberId, address: Address) -> None:
+        """Take in an authentic message of another balancer.
+
+        Parameters
+        ----------
+        message : Message
+            The message.
+        sender : MemberId
+            Balancer that sealed it.
+        address : Address
+            Where it came from and where answers go.
+        """
+        if sender == self._state.me:
+            return
+        self._membership.on_heard(sender)
+        self._dispatch(message, sender, address)
+
+    def on_config(self, after: int, upto: int, entries: list[ConfigEntry]) -> None:
+        """Take in what the platform's store holds in ``(after, upto]``."""
+        self._distribution.apply(after, upto, entries)
+
+    def on_probe_result(self, server: ServerId, is_up: bool) -> None:
+        """Take in the result of one health probe."""
+        self._health.on_probe_result(server, is_up)
+
+    def probe_targets(self) -> list[tuple[ServerId, Address]]:
+        """Return the backend servers to probe, with their health endpoints."""
+        return self._health.targets()
+
+    def tick(self, now: Millis) -> None:
+        """Run every system once, in a fixed order."""
+        gap = now - self._state.now
+        self._state.now = now
+        if gap > self._state.settings.pause_limit and self._state.is_ready:
+            self._state.log("paused", gap_ms=gap)
+            self._membership.rejoin()
+        self._joining.tick()
+        self._membership.tick()
+        self._ownership.tick()
+        self._routing.route_released()
+        self._health.tick()
+        self._moves.tick()
+        self._loads.tick()
+        self._resend()
+        self._check()
+
+    def flush(self) -> None:
+        """Send what packets have caused since the last tick."""
+        self._moves.flush()
+
+    def leave(self) -> None:
+        """Begin to leave: hand over what only this balancer knows."""
+        if self._leaving_since is None:
+            self._leaving_since = self._state.now
+            self._membership.set_own_status(MemberStatus.LEAVING)
+
+    def say_goodbye(self) -> None:
+        """Tell every balancer that this one is gone."""
+        row = self._state.self_row
+        row.status = MemberStatus.DEAD
+        for other in self._state.others():
+            ping = Ping(0, self.config_revision, [self._membership.own_state()])
+            self._state.send(other.peer_address, ping)
+
+    def take_outputs(self) -> list[Output]:
+        """Return and forget what is to be done."""
+        outputs = self._state.outbox
+        self._state.outbox = []
+        return outputs
+
+    def _owned(self) -> list[int]:
+        me = self._state.me
+        return [
+            shard for shard in range(N_SHARDS) if self.tables.shards[shard].owner == me
+        ]
+
+    def _resend(self) -> None:
+        period = self._state.settings.resend_period
+        for pending in self._state.requests.due(self._state.now, period):
+            self._state.send(pending.address, pending.message)
+
+    def _check(self) -> None:
+        check_tables(self._state)
+
+    def _dispatch(self, message: Message, sender: MemberId, address: Address) -> None:
+        match message:
+            case Ping():
+                self._distribution.on_peer_revision(
+                    sender, message.config_revision, address
+                )
+                self._membership.on_ping(message, address)
+            case Ack():
+                self._distribution.on_peer_revision(
+                    sender, message.config_revision, address
+                )
+                self._membership.on_ack(message, sender)
+            case PingRequest():
+                self._membership.on_ping_request(message, address)
+            case ConfigPull():
+                self._distribution.on_pull(message, address)
+            case ConfigDelta():
+                self._distribution.on_delta(message)
+            case Join():
+                self._joining.on_join(message, address)
+            case JoinReply():
+                self._distribution.on_peer_revision(
+                    sender, message.sender.config_revision, address
+                )
+                self._joining.on_reply(message)
+            case BucketUpdate():
+                self._updates.on_update(message, address)
+            case CopyRecords():
+                self._moves.on_copy(message, address)
+            case Handover():
+                self._ownership.on_handover(message, sender, address)
+            case Gather():
+                self._ownership.on_gather(message, sender, address)
+            case GatherReply():
+                self._ownership.on_gather_reply(message, sender)
+            case Done():
+                self._moves.on_done(message, sender)
+            case Hint():
+                self._moves.on_hint(message)
+            case Seen():
+                self._moves.on_seen(message)
+            case Health():
+                self._health.on_health(message, sender)
+            case Loads():
+                self._loads.on_loads(message, sender)
+
+
+def _own_row(identity: Identity) -> MemberRow:
+    return MemberRow(
+        member=identity.member,
+        host=identity.host,
+        peer_port=identity.peer_port,
+        relay_port=identity.relay_port,
+        api_port=identity.api_port,
+        data_centre=identity.data_centre,
+        incarnation=identity.incarnation,
+        status=MemberStatus.JOINING,
+    )
--- /dev/null
+++ b/packages/stoattray-standin/src/stoattray_standin/deployments.py
@@ -0,0 +1,50 @@
+"""The two organisations' services as they stand today."""
+
+from stoattray_core.resources import ServiceModel
+
+SERVER_PORT = 9000
+
+
+def service_model(
+    organisation: str,
+    name: str,
+    *,
+    address: str,
+    n_servers: int,
+    policy: str = "continuity",
+    idle_limit_seconds: float = 300.0,
+    host_prefix: str = "10.0.0.",
+    first_host: int = 1,
+    port: int = 443,
+    protocol: str = "tcp",
+    draining: frozenset[str] = frozenset(),
+    removed: frozenset[str] = frozenset(),
+) -> ServiceModel:
+    """Return a service with numbered backend servers."""
+    servers = []
+    for number in range(1, n_servers + 1):
+        server = f"{name}-{number}"
+        if server in removed:
+            continue
+        servers.append(
+            {
+                "name": server,
+                "address": f"{host_prefix}{first_host + number - 1}",
+                "port": SERVER_PORT,
+                "state": "draining" if server in draining else "active",
+            }
+        )
+    return ServiceModel.model_validate(
+        {
+            "organisation": organisation,
+            "name": name,
+            "spec": {
+                "address": address,
+                "port": port,
+                "protocol": protocol,
+                "policy": policy,
+                "idle_limit_seconds": idle_limit_seconds,
+                "backend_servers": servers,
+            },
+        }
+    )
