--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The stoattray balancer process: sockets, platform and API around the core."""
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_api.py
@@ -0,0 +1,362 @@
+"""The resource API: declared services and the state in force, as JSON over HTTP."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import falcon
+import gevent
+from pydantic import Field, ValidationError
+
+from stoattray_balancer._declarations import Declarations, Declared
+from stoattray_balancer._in_force import report_in_force
+from stoattray_balancer._logs import log_event
+from stoattray_balancer._telemetry import Telemetry
+from stoattray_balancer._tokens import TokenCheck
+from stoattray_core import ANSWERS, Core, ErrorKind, StoattrayError
+from stoattray_core.resources import (
+    MAX_SERVICE_BYTES,
+    BackendServerModel,
+    Model,
+    ServiceModel,
+    describe_validation_error,
+)
+
+M = TypeVar("M", bound=Model)
+
+MAX_BODY_BYTES = 2 * MAX_SERVICE_BYTES
+MAX_WAIT_SECONDS = 60.0
+WAIT_STEP_SECONDS = 0.05
+
+
+class ServiceChange(Model):
+    """Body of a request that declares a service."""
+
+    revision: int = Field(ge=0)
+    service: ServiceModel
+
+
+class BackendServerChange(Model):
+    """Body of a request that declares one backend server."""
+
+    revision: int = Field(ge=1)
+    backend_server: BackendServerModel
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """What the resources share."""
+
+    core: Core
+    declarations: Declarations
+    tokens: TokenCheck
+    telemetry: Telemetry
+    refresh_members: Callable[[int], None]
+    counters: Callable[[], dict[str, int]]
+
+
+class ServiceList:
+    """``/v1/organisations/{organisation}/services``."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response, organisation: str
+    ) -> None:
+        """Answer with the services in force on this balancer."""
+        self._context.tokens.check(request.auth, organisation)
+        found = self._context.declarations.list_local(organisation)
+        response.media = {
+            "revision": self._context.core.config_revision,
+            "items": [_describe(declared) for declared in found],
+        }
+
+
+class ServiceItem:
+    """``/v1/organisations/{organisation}/services/{name}``."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def on_get(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        organisation: str,
+        name: str,
+    ) -> None:
+        """Answer with a service as the platform holds it."""
+        self._context.tokens.check(request.auth, organisation)
+        self._context.telemetry.span("api to platform", operation="get")
+        declared = self._context.declarations.get(organisation, name)
+        _require(declared, organisation, name)
+        response.media = _describe(declared)
+
+    def on_put(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        organisation: str,
+        name: str,
+    ) -> None:
+        """Create or change a service."""
+        self._context.tokens.check(request.auth, organisation)
+        change = _read_body(request, ServiceChange)
+        _check_name(change.service, organisation, name)
+        self._context.telemetry.span("api to platform", operation="put")
+        if request.get_param_as_bool("dry_run"):
+            response.media = self._preview(change)
+            return
+        revision = self._context.declarations.put(change.service, change.revision)
+        response.media = {"revision": revision}
+        log_event("service_declared", service=change.service.service, revision=revision)
+
+    def on_delete(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        organisation: str,
+        name: str,
+    ) -> None:
+        """Delete a service."""
+        self._context.tokens.check(request.auth, organisation)
+        expected = request.get_param_as_int("revision", required=True, min_value=1)
+        self._context.telemetry.span("api to platform", operation="delete")
+        revision = self._context.declarations.delete(organisation, name, expected)
+        response.media = {"revision": revision}
+        log_event("service_deleted", service=f"{organisation}/{name}")
+
+    def _preview(self, change: ServiceChange) -> dict[str, Any]:
+        service = change.service
+        before = self._context.declarations.get(service.organisation, service.name)
+        if before.revision != change.revision:
+            reason = (
+                f"revision {change.revision} was given, "
+                f"the current one is {before.revision}"
+            )
+            raise StoattrayError(ErrorKind.CONFLICT, reason)
+        return {
+            "revision": before.revision,
+            "before": _describe(before)["service"],
+            "after": service.model_dump(mode="json"),
+        }
+
+
+class BackendServerItem:
+    """``/v1/organisations/{o}/services/{s}/backend-servers/{b}``."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def on_put(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        organisation: str,
+        name: str,
+        server: str,
+    ) -> None:
+        """Add or change one backend server of a service."""
+        self._context.tokens.check(request.auth, organisation)
+        change = _read_body(request, BackendServerChange)
+        if change.backend_server.name != server:
+            reason = (
+                f"backend_server.name={change.backend_server.name!r}: "
+                f"expected {server!r}"
+            )
+            raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
+        replaced = self._replaced(organisation, name, server, change.backend_server)
+        response.media = {"revision": self._put(replaced, change.revision)}
+
+    def on_delete(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        organisation: str,
+        name: str,
+        server: str,
+    ) -> None:
+        """Remove one backend server from a service."""
+        self._context.tokens.check(request.auth, organisation)
+        expected = request.get_param_as_int("revision", required=True, min_value=1)
+        replaced = self._replaced(organisation, name, server, None)
+        response.media = {"revision": self._put(replaced, expected)}
+
+    def _put(self, service: ServiceModel, expected: int) -> int:
+        self._context.telemetry.span("api to platform", operation="put")
+        return self._context.declarations.put(service, expected)
+
+    def _replaced(
+        self,
+        organisation: str,
+        name: str,
+        server: str,
+        replacement: BackendServerModel | None,
+    ) -> ServiceModel:
+        declared = self._context.declarations.get(organisation, name)
+        service = _require(declared, organisation, name)
+        servers = list(service.spec.backend_servers)
+        positions = [index for index, item in enumerate(servers) if item.name == server]
+        if replacement is None and not positions:
+            reason = f"backend server {server!r} does not exist"
+            raise StoattrayError(ErrorKind.NOT_FOUND, reason)
+        if replacement is None:
+            del servers[positions[0]]
+        elif positions:
+            servers[positions[0]] = replacement
+        else:
+            servers.append(replacement)
+        spec = service.spec.model_dump(mode="json")
+        spec["backend_servers"] = [item.model_dump(mode="json") for item in servers]
+        return _validated(
+            ServiceModel,
+            {"organisation": organisation, "name": name, "spec": spec},
+        )
+
+
+class Status:
+    """``/v1/status``: who serves which revision."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the report, once in force or when the wait is over."""
+        self._context.tokens.organisation(request.auth)
+        core = self._context.core
+        default = core.config_revision
+        revision = request.get_param_as_int("revision", min_value=0, default=default)
+        wait = request.get_param_as_float(
+            "wait_seconds", min_value=0.0, max_value=MAX_WAIT_SECONDS, default=0.0
+        )
+        deadline = time.monotonic() + wait
+        report = report_in_force(core, revision)
+        while not report.in_force and time.monotonic() < deadline:
+            self._context.refresh_members(revision)
+            gevent.sleep(WAIT_STEP_SECONDS)
+            report = report_in_force(core, revision)
+        response.media = report.to_json()
+
+
+class Counters:
+    """``/v1/counters``: events counted since the start of this process."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with counts by name."""
+        self._context.tokens.organisation(request.auth)
+        counts = self._context.counters()
+        response.media = {str(name): counts[name] for name in sorted(counts)}
+
+
+class Readiness:
+    """``/v1/ready``: whether this balancer decides about packets."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer 200 if ready, else 503."""
+        core = self._context.core
+        response.media = {"status": core.status.name.lower()}
+        response.status = 200 if core.is_ready else 503
+
+
+def build_app(context: Context) -> falcon.App:
+    """Return the WSGI application."""
+    app = falcon.App()
+    app.add_error_handler(StoattrayError, _answer_error)
+    app.add_error_handler(Exception, _answer_unexpected)
+    app.add_error_handler(falcon.HTTPError, _answer_http_error)
+    base = "/v1/organisations/{organisation}/services"
+    app.add_route(base, ServiceList(context))
+    app.add_route(base + "/{name}", ServiceItem(context))
+    servers = base + "/{name}/backend-servers/{server}"
+    app.add_route(servers, BackendServerItem(context))
+    app.add_route("/v1/status", Status(context))
+    app.add_route("/v1/counters", Counters(context))
+    app.add_route("/v1/ready", Readiness(context))
+    return app
+
+
+def _describe(declared: Declared) -> dict[str, Any]:
+    service = declared.service
+    return {
+        "revision": declared.revision,
+        "service": service.model_dump(mode="json") if service is not None else None,
+    }
+
+
+def _require(declared: Declared, organisation: str, name: str) -> ServiceModel:
+    if declared.service is None:
+        reason = f"service {organisation}/{name} does not exist"
+        raise StoattrayError(ErrorKind.NOT_FOUND, reason)
+    return declared.service
+
+
+def _check_name(service: ServiceModel, organisation: str, name: str) -> None:
+    if service.service != f"{organisation}/{name}":
+        reason = f"service={service.service!r}: expected '{organisation}/{name}'"
+        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
+
+
+def _read_body(request: falcon.Request, model: type[M]) -> M:
+    length = request.content_length or 0
+    if length > MAX_BODY_BYTES:
+        reason = f"body of {length} bytes: expected {MAX_BODY_BYTES} at most"
+        raise StoattrayError(ErrorKind.TOO_LARGE, reason)
+    data = request.bounded_stream.read(MAX_BODY_BYTES)
+    try:
+        return model.model_validate_json(data)
+    except ValidationError as error:
+        reason = describe_validation_error(error)
+        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason) from None
+
+
+def _validated(model: type[M], value: dict[str, Any]) -> M:
+    try:
+        return model.model_validate(value)
+    except ValidationError as error:
+        reason = describe_validation_error(error)
+        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason) from None
+
+
+def _answer_error(
+    request: falcon.Request,
+    response: falcon.Response,
+    error: StoattrayError,
+    params: dict[str, Any],
+) -> None:
+    response.status = error.answer.http_status
+    response.media = {"error": {"kind": error.kind, "reason": error.reason}}
+    log_event("api_refused", kind=error.kind, path=request.path, reason=error.reason)
+
+
+def _answer_http_error(
+    request: falcon.Request,
+    response: falcon.Response,
+    error: falcon.HTTPError,
+    params: dict[str, Any],
+) -> None:
+    is_missing = error.status_code == 404
+    kind = ErrorKind.NOT_FOUND if is_missing else ErrorKind.INVALID_ARGUMENT
+    response.status = error.status
+    reason = error.description or error.title or "bad request"
+    response.media = {"error": {"kind": kind, "reason": reason}}
+
+
+def _answer_unexpected(
+    request: falcon.Request,
+    response: falcon.Response,
+    error: Exception,
+    params: dict[str, Any],
+) -> None:
+    response.status = ANSWERS[ErrorKind.INTERNAL].http_status
+    response.media = {
+        "error": {"kind": ErrorKind.INTERNAL, "reason": type(error).__name__}
+    }
+    log_event("api_failed", path=request.path, error=repr(error))
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_codec.py
@@ -0,0 +1,176 @@
+"""Thrift form of the messages between balancers.
+
+Each data class in ``stoattray_core.messages`` stands for the struct of the
+same name in ``peer.thrift``; the fields have the same names.
+"""
+
+import dataclasses
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from stoattray_core import ErrorKind, Refused, messages
+from stoattray_core.messages import Message
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 64_000
+
+_IDL = thriftpy2.load(
+    str(Path(__file__).with_name("peer.thrift")), module_name="peer_thrift"
+)
+_PROTOCOL = TCyBinaryProtocolFactory()
+_WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
+_INTEGER_BOUND = 1 << 63
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with who sent it and its place in the sender's order.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the balancer.
+    incarnation : int
+        Incarnation of the sender's process.
+    sequence : int
+        Higher than that of every earlier message of this process.
+    message : Message
+        The content.
+    """
+
+    sender: str
+    incarnation: int
+    sequence: int
+    message: Message
+
+
+def _member_name(class_name: str) -> str:
+    return _WORD_START.sub("_", class_name).lower()
+
+
+_BODY_CLASSES: dict[str, type] = {
+    spec[1]: getattr(messages, spec[2].__name__)
+    for spec in _IDL.Body.thrift_spec.values()
+}
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of an envelope."""
+    message = envelope.message
+    body = _IDL.Body()
+    setattr(body, _member_name(type(message).__name__), _to_thrift(message))
+    struct = _IDL.Envelope(
+        version=PROTOCOL_VERSION,
+        sender=envelope.sender,
+        incarnation=envelope.incarnation,
+        sequence=envelope.sequence,
+        body=body,
+    )
+    return serialize(struct, _PROTOCOL)
+
+
+def decode(data: bytes) -> Envelope | Refused:
+    """Return the envelope in `data`, or why there is none."""
+    if len(data) > MAX_MESSAGE_BYTES:
+        return Refused(ErrorKind.TOO_LARGE, f"{len(data)} bytes")
+    try:
+        struct = deserialize(_IDL.Envelope(), data, _PROTOCOL)
+    except Exception as error:  # noqa: BLE001 - the library raises many kinds
+        return Refused(ErrorKind.MESSAGE_MALFORMED, type(error).__name__)
+    if struct.version != PROTOCOL_VERSION:
+        return Refused(ErrorKind.MESSAGE_BAD_VERSION, f"version {struct.version}")
+    try:
+        return _read_envelope(struct)
+    except (TypeError, ValueError, AttributeError) as error:
+        return Refused(ErrorKind.MESSAGE_MALFORMED, str(error))
+
+
+def message_size(message: Message) -> int:
+    """Return the size of a message on the wire before sealing, in bytes."""
+    return len(encode(Envelope("member-000", 1, 1, message)))
+
+
+def _read_envelope(struct: Any) -> Envelope:
+    for name, cls in _BODY_CLASSES.items():
+        body = getattr(struct.body, name)
+        if body is not None:
+            return Envelope(
+                sender=_check_scalar("sender", struct.sender, str),
+                incarnation=_check_scalar("incarnation", struct.incarnation, int),
+                sequence=_check_scalar("sequence", struct.sequence, int),
+                message=_from_thrift(body, cls),
+            )
+    raise ValueError("no message in the envelope")
+
+
+def _to_thrift(value: Any) -> Any:
+    if isinstance(value, list):
+        return [_to_thrift(item) for item in value]
+    if not dataclasses.is_dataclass(value):
+        return value
+    struct = getattr(_IDL, type(value).__name__)()
+    for field in dataclasses.fields(value):
+        setattr(struct, field.name, _to_thrift(getattr(value, field.name)))
+    return struct
+
+
+def _from_thrift(struct: Any, cls: type) -> Any:
+    values: dict[str, Any] = {}
+    for field in dataclasses.fields(cls):
+        value = getattr(struct, field.name)
+        values[field.name] = _read_field(
+            field.name, value, _FIELD_TYPES[cls][field.name]
+        )
+    return cls(**values)
+
+
+def _read_field(name: str, value: Any, expected: "_FieldType") -> Any:
+    if expected.is_list:
+        if not isinstance(value, list):
+            raise ValueError(f"{name}: expected a list")
+        return [_read_item(name, item, expected.item) for item in value]
+    return _read_item(name, value, expected.item)
+
+
+def _read_item(name: str, value: Any, expected: type) -> Any:
+    if dataclasses.is_dataclass(expected):
+        if value is None:
+            raise ValueError(f"{name}: missing")
+        return _from_thrift(value, expected)
+    if expected is bytes and isinstance(value, str):
+        return value.encode("utf-8", "surrogateescape")
+    return _check_scalar(name, value, expected)
+
+
+def _check_scalar(name: str, value: Any, expected: type) -> Any:
+    if not isinstance(value, expected):
+        raise ValueError(f"{name}: expected {expected.__name__}")
+    if expected is int and not 0 <= value < _INTEGER_BOUND:
+        raise ValueError(f"{name}: out of range")
+    return value
+
+
+@dataclass(frozen=True, slots=True)
+class _FieldType:
+    item: type
+    is_list: bool
+
+
+def _field_type(annotation: Any) -> _FieldType:
+    arguments = getattr(annotation, "__args__", None)
+    if arguments:
+        return _FieldType(arguments[0], is_list=True)
+    return _FieldType(annotation, is_list=False)
+
+
+_FIELD_TYPES: dict[type, dict[str, _FieldType]] = {
+    cls: {field.name: _field_type(field.type) for field in dataclasses.fields(cls)}
+    for cls in vars(messages).values()
+    if dataclasses.is_dataclass(cls)
+}
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
@@ -0,0 +1,283 @@
+"""Sockets of the packet path: fabric, relays and messages between balancers."""
+
+import socket
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import gevent
+from gevent import monkey
+
+from stoattray_balancer._codec import Envelope, decode, encode
+from stoattray_balancer._logs import log_event
+from stoattray_balancer._resets import build_answer
+from stoattray_balancer._sealing import Keyring, ReplayFilter
+from stoattray_balancer._telemetry import CONTEXT_BYTES, Telemetry, TraceContext
+from stoattray_core import Address, Core, MemberId, Millis, Refused
+from stoattray_core.messages import Message
+from stoattray_core.outputs import Event, Forward, Output, Reject, Relay, Send
+
+BATCH_PACKETS = 64
+RECEIVE_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 8_388_608
+TRACED_FLAG = 0x80
+HOPS_MASK = 0x0F
+READ_EVENT = 1
+
+_original_socket: type[socket.socket] = monkey.get_original("socket", "socket")
+
+
+@contextmanager
+def udp_socket(host: str, port: int) -> Iterator[socket.socket]:
+    """Own a bound, non-blocking UDP socket that gevent does not wrap."""
+    sock = _original_socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        sock.bind((host, port))
+        yield sock
+    finally:
+        sock.close()
+
+
+class DataPath:
+    """Moves packets and messages between sockets and the core.
+
+    Parameters
+    ----------
+    core : Core
+        Decides.
+    fabric, relays, peers : socket.socket
+        Bound, non-blocking UDP sockets.
+    fabric_return : Address
+        Where packets for callers go.
+    keyring : Keyring
+        Seals messages.
+    member, incarnation : MemberId, int
+        Who seals.
+    clock : callable
+        Returns monotonic milliseconds.
+    telemetry : Telemetry
+        Records sampled hops.
+    sample_one_in : int
+        One packet in so many is traced.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        *,
+        fabric: socket.socket,
+        relays: socket.socket,
+        peers: socket.socket,
+        fabric_return: Address,
+        keyring: Keyring,
+        member: MemberId,
+        incarnation: int,
+        clock: Callable[[], Millis],
+        telemetry: Telemetry,
+        sample_one_in: int,
+    ) -> None:
+        self._core = core
+        self._fabric = fabric
+        self._relays = relays
+        self._peers = peers
+        self._fabric_return = fabric_return
+        self._keyring = keyring
+        self._member = member
+        self._incarnation = incarnation
+        self._clock = clock
+        self._telemetry = telemetry
+        self._sample_one_in = sample_one_in
+        self._until_sample = sample_one_in
+        self._trace: TraceContext | None = None
+        self._sequence = 0
+        self._replays: dict[str, ReplayFilter] = {}
+        self._ticked_at = clock()
+        self._pause_limit = core.settings.pause_limit
+        self.counters: Counter[str] = Counter()
+        loop = gevent.get_hub().loop
+        self._watchers = [
+            (loop.io(fabric.fileno(), READ_EVENT), self._on_fabric),
+            (loop.io(relays.fileno(), READ_EVENT), self._on_relays),
+            (loop.io(peers.fileno(), READ_EVENT), self._on_peers),
+        ]
+
+    def start(self) -> None:
+        """Begin to receive."""
+        for watcher, callback in self._watchers:
+            watcher.start(callback)
+
+    def stop(self) -> None:
+        """Receive no more."""
+        for watcher, _ in self._watchers:
+            watcher.stop()
+            watcher.close()
+
+    def tick(self) -> None:
+        """Run the core's systems and carry out what they ask for."""
+        self._ticked_at = self._clock()
+        self._core.tick(self._ticked_at)
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        """Do everything that the core has asked for."""
+        self._core.flush()
+        for output in self._core.take_outputs():
+            self._carry_out_one(output)
+
+    def _notice_pause(self) -> None:
+        """Tick before packets are decided if this process has not run for long."""
+        if self._clock() - self._ticked_at > self._pause_limit:
+            self.tick()
+
+    def _on_fabric(self) -> None:
+        self._notice_pause()
+        receive = self._fabric.recv
+        send = self._fabric.sendto
+        fast_address = self._core.fast_address
+        if not self._core.is_ready:
+            fast_address = _no_fast_address
+        n_forwarded = 0
+        for _ in range(BATCH_PACKETS):
+            try:
+                data = receive(RECEIVE_BYTES)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.counters["receive_errors"] += 1
+                continue
+            address = fast_address(data)
+            if address is None:
+                self._decide(data)
+                continue
+            try:
+                send(data, address)
+            except OSError:
+                self.counters["send_errors"] += 1
+                continue
+            n_forwarded += 1
+            if self._telemetry.is_tracing:
+                self._sample(address)
+        self.counters["packets_forwarded_fast"] += n_forwarded
+        self.carry_out()
+
+    def _decide(self, data: bytes) -> None:
+        if self._telemetry.is_tracing:
+            self._until_sample -= 1
+            if self._until_sample <= 0:
+                self._until_sample = self._sample_one_in
+                self._trace = self._telemetry.span("fabric to balancer")
+        self._core.on_packet(data)
+        if self._trace is not None:
+            self.carry_out()
+            self._trace = None
+
+    def _sample(self, address: Address) -> None:
+        self._until_sample -= 1
+        if self._until_sample > 0:
+            return
+        self._until_sample = self._sample_one_in
+        parent = self._telemetry.span("fabric to balancer")
+        self._telemetry.span(
+            "balancer to backend server", parent, address=f"{address[0]}:{address[1]}"
+        )
+
+    def _on_relays(self) -> None:
+        self._notice_pause()
+        for _ in range(BATCH_PACKETS):
+            try:
+                data, sender = self._relays.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.counters["receive_errors"] += 1
+                continue
+            self._on_relayed(data, sender)
+        self.carry_out()
+
+    def _on_relayed(self, data: bytes, sender: Address) -> None:
+        if len(data) < 1 + CONTEXT_BYTES:
+            self.counters["relayed_truncated"] += 1
+            return
+        hops = data[0] & HOPS_MASK
+        if not data[0] & TRACED_FLAG:
+            self._core.on_relayed(data[1:], hops, sender)
+            return
+        if self._telemetry.is_tracing:
+            parent = TraceContext.from_bytes(data[1 : 1 + CONTEXT_BYTES])
+            self._trace = self._telemetry.span("balancer to peer", parent, hops=hops)
+        self._core.on_relayed(data[1 + CONTEXT_BYTES :], hops, sender)
+        self.carry_out()
+        self._trace = None
+
+    def _on_peers(self) -> None:
+        self._notice_pause()
+        for _ in range(BATCH_PACKETS):
+            try:
+                data, address = self._peers.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.counters["receive_errors"] += 1
+                continue
+            self._on_sealed(data, address)
+        self.carry_out()
+
+    def _on_sealed(self, data: bytes, address: Address) -> None:
+        self.counters["peer_bytes_received"] += len(data)
+        plain = self._keyring.open(data)
+        envelope = plain if isinstance(plain, Refused) else decode(plain)
+        if isinstance(envelope, Refused):
+            self.counters[envelope.kind] += 1
+            return
+        replays = self._replays.setdefault(envelope.sender, ReplayFilter())
+        if not replays.accept(envelope.incarnation, envelope.sequence):
+            self.counters["message_replayed"] += 1
+            return
+        self._core.on_message(envelope.message, MemberId(envelope.sender), address)
+
+    def _carry_out_one(self, output: Output) -> None:
+        match output:
+            case Forward(address, data):
+                self._send(self._fabric, data, address)
+                self.counters["packets_forwarded_decided"] += 1
+                if self._trace is not None:
+                    self._telemetry.span(
+                        "balancer to backend server",
+                        self._trace,
+                        address=f"{address[0]}:{address[1]}",
+                    )
+            case Relay(address, hops, data):
+                self._send(self._relays, self._relay_header(hops) + data, address)
+            case Send(address, message):
+                self._send_message(address, message)
+            case Reject(kind, data):
+                answer = build_answer(kind, data)
+                if answer is not None:
+                    self._send(self._fabric, answer, self._fabric_return)
+            case Event(name, fields):
+                log_event(name, **fields)
+
+    def _relay_header(self, hops: int) -> bytes:
+        if self._trace is None:
+            return bytes((hops & HOPS_MASK,))
+        return bytes((hops & HOPS_MASK | TRACED_FLAG,)) + self._trace.to_bytes()
+
+    def _send_message(self, address: Address, message: Message) -> None:
+        self._sequence += 1
+        envelope = Envelope(self._member, self._incarnation, self._sequence, message)
+        sealed = self._keyring.seal(encode(envelope))
+        self.counters["peer_bytes_sent"] += len(sealed)
+        self.counters["peer_messages_sent"] += 1
+        self._send(self._peers, sealed, address)
+
+    def _send(self, sock: socket.socket, data: bytes, address: Address) -> None:
+        try:
+            sock.sendto(data, address)
+        except OSError:
+            self.counters["send_errors"] += 1
+
+
+def _no_fast_address(_: bytes) -> None:
+    return None
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_in_force.py
@@ -0,0 +1,70 @@
+"""Which balancers serve a revision of the configuration."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from stoattray_core import Core, MemberStatus
+
+
+@dataclass(frozen=True, slots=True)
+class InForceReport:
+    """State of one revision over all balancers that this one knows.
+
+    Parameters
+    ----------
+    revision : int
+        The revision asked for.
+    have, lack, unreachable : tuple of str
+        Balancers that serve it or a later one, that serve an older one, and
+        that are known but count as dead.
+    by_data_centre : dict of str to tuple of int
+        Per data centre how many have it, out of how many that are in reach.
+    """
+
+    revision: int
+    have: tuple[str, ...]
+    lack: tuple[str, ...]
+    unreachable: tuple[str, ...]
+    by_data_centre: dict[str, tuple[int, int]]
+
+    @property
+    def in_force(self) -> bool:
+        """Return whether every balancer in reach serves the revision."""
+        return bool(self.have) and not self.lack
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the report for the API."""
+        return {
+            "revision": self.revision,
+            "in_force": self.in_force,
+            "have": list(self.have),
+            "lack": list(self.lack),
+            "unreachable": list(self.unreachable),
+            "data_centres": {
+                name: {"have": have, "in_reach": total}
+                for name, (have, total) in self.by_data_centre.items()
+            },
+        }
+
+
+def report_in_force(core: Core, revision: int) -> InForceReport:
+    """Return who serves `revision`, as far as this balancer knows."""
+    have: list[str] = []
+    lack: list[str] = []
+    unreachable: list[str] = []
+    totals: dict[str, tuple[int, int]] = {}
+    for row in core.tables.members.values():
+        if row.status is MemberStatus.DEAD:
+            unreachable.append(row.member)
+            continue
+        has_it = row.config_revision >= revision
+        (have if has_it else lack).append(row.member)
+        n_have, n_all = totals.get(row.data_centre, (0, 0))
+        totals[row.data_centre] = (n_have + has_it, n_all + 1)
+    return InForceReport(
+        revision=revision,
+        have=tuple(sorted(have)),
+        lack=tuple(sorted(lack)),
+        unreachable=tuple(sorted(unreachable)),
+        by_data_centre=dict(sorted(totals.items())),
+    )
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
@@ -0,0 +1,48 @@
+"""Log lines of key=value pairs, one for each event."""
+
+import json
+import logging
+import sys
+import time
+
+LOGGER = logging.getLogger("stoattray")
+
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:/@-"
+)
+
+FieldValue = str | int | float | bool | None
+
+
+class _LineFormatter(logging.Formatter):
+    """Puts time, severity and event before the pairs."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        when = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        level = record.levelname.lower()
+        head = f"time={when}.{int(record.msecs):03d}Z level={level}"
+        return f"{head} {record.getMessage()}"
+
+
+def set_up_logging(level: str) -> None:
+    """Write events of at least `level` to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_LineFormatter())
+    LOGGER.handlers[:] = [handler]
+    LOGGER.setLevel(level.upper())
+    LOGGER.propagate = False
+
+
+def log_event(name: str, *, severity: int = logging.INFO, **fields: FieldValue) -> None:
+    """Write one line for an event."""
+    if not LOGGER.isEnabledFor(severity):
+        return
+    pairs = [f"{key}={_quote(value)}" for key, value in fields.items()]
+    LOGGER.log(severity, "%s", " ".join([f"event={name}", *pairs]))
+
+
+def _quote(value: FieldValue) -> str:
+    text = str(value)
+    if text and all(character in _PLAIN for character in text):
+        return text
+    return json.dumps(text)
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_platform_reader.py
@@ -0,0 +1,103 @@
+"""Keeps the core's configuration up to date from the platform."""
+
+from collections.abc import Callable
+from random import Random
+
+import gevent
+from gevent.event import Event
+
+from stoattray_balancer._declarations import Declarations
+from stoattray_balancer._logs import log_event
+from stoattray_balancer._store import Store
+from stoattray_core import Core
+
+MAX_BACK_OFF_SECONDS = 30.0
+NOT_READER_CHECK_SECONDS = 1.0
+
+
+class PlatformReader:
+    """Reads after each watch event and now and then; backs off when refused.
+
+    Parameters
+    ----------
+    core : Core
+        Says whether this balancer is a reader.
+    declarations : Declarations
+        Reads and hands over.
+    store : Store
+        Is watched.
+    poll_seconds : float
+        Time between two reads without watch event.
+    random : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        declarations: Declarations,
+        store: Store,
+        *,
+        poll_seconds: float,
+        random: Random,
+    ) -> None:
+        self._core = core
+        self._declarations = declarations
+        self._store = store
+        self._poll_seconds = poll_seconds
+        self._random = random
+        self._changed = Event()
+        self._n_failures = 0
+
+    def run_reads(self) -> None:
+        """Read for ever."""
+        while True:
+            if not self._is_needed():
+                gevent.sleep(NOT_READER_CHECK_SECONDS)
+                continue
+            self._changed.clear()
+            if self._declarations.refresh():
+                self._note_success()
+                self._changed.wait(self._poll_seconds)
+            else:
+                gevent.sleep(self._back_off("read"))
+
+    def run_watch(self) -> None:
+        """Watch for ever, and wake the reads when something changes."""
+        while True:
+            if self._is_needed():
+                for _ in self._store.watch(self._core.config_revision):
+                    self._changed.set()
+                    if not self._is_needed():
+                        break
+            gevent.sleep(NOT_READER_CHECK_SECONDS * (1 + self._random.random()))
+
+    def _is_needed(self) -> bool:
+        return self._core.is_reader or self._core.config_revision == 0
+
+    def _note_success(self) -> None:
+        if self._n_failures:
+            log_event("platform_back", n_failures=self._n_failures)
+        self._n_failures = 0
+
+    def _back_off(self, what: str) -> float:
+        """Return a wait drawn evenly from an interval that doubles."""
+        if self._n_failures == 0:
+            log_event("platform_unreachable", call=what)
+        self._n_failures += 1
+        limit = min(MAX_BACK_OFF_SECONDS, 0.5 * 2 ** min(self._n_failures, 10))
+        return self._random.uniform(0.1, limit)
+
+
+def forever(action: Callable[[], None], name: str) -> Callable[[], None]:
+    """Return a loop that starts `action` again after an unexpected error."""
+
+    def run() -> None:
+        while True:
+            try:
+                action()
+            except Exception as error:  # noqa: BLE001 - the process must go on
+                log_event("task_failed", task=name, error=repr(error))
+                gevent.sleep(NOT_READER_CHECK_SECONDS)
+
+    return run
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_resets.py
@@ -0,0 +1,54 @@
+"""Answers to callers whose packet was refused."""
+
+import dpkt
+
+from stoattray_core import ANSWERS, ErrorKind, PacketAnswer
+
+RESET_TTL = 64
+
+
+def build_answer(kind: ErrorKind, data: bytes) -> bytes | None:
+    """Return the packet that tells the caller, or None if there is none to send.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Why the packet was refused.
+    data : bytes
+        The refused IPv4 packet.
+
+    Returns
+    -------
+    bytes or None
+        A TCP reset as RFC 9293, section 3.10.7.1 has it.
+    """
+    if ANSWERS[kind].packet is not PacketAnswer.RESET:
+        return None
+    try:
+        packet = dpkt.ip.IP(data)
+    except (dpkt.Error, ValueError):
+        return None
+    segment = packet.data
+    if not isinstance(segment, dpkt.tcp.TCP) or segment.flags & dpkt.tcp.TH_RST:
+        return None
+    answer = dpkt.ip.IP(
+        src=packet.dst,
+        dst=packet.src,
+        p=dpkt.ip.IP_PROTO_TCP,
+        ttl=RESET_TTL,
+        data=_reset_for(segment),
+    )
+    answer.len = len(answer)
+    return bytes(answer)
+
+
+def _reset_for(segment: dpkt.tcp.TCP) -> dpkt.tcp.TCP:
+    reset = dpkt.tcp.TCP(sport=segment.dport, dport=segment.sport)
+    if segment.flags & dpkt.tcp.TH_ACK:
+        reset.flags = dpkt.tcp.TH_RST
+        reset.seq = segment.ack
+        return reset
+    n_syn_or_fin = bool(segment.flags & (dpkt.tcp.TH_SYN | dpkt.tcp.TH_FIN))
+    reset.flags = dpkt.tcp.TH_RST | dpkt.tcp.TH_ACK
+    reset.ack = (segment.seq + len(segment.data) + n_syn_or_fin) & 0xFFFFFFFF
+    return reset
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_store.py
@@ -0,0 +1,288 @@
+"""Client of the platform's key-value service.
+
+The protocol is the JSON form of the etcd version 3 API: ``/v3/kv/range``,
+``/v3/kv/txn`` and ``/v3/watch``. Deletions are kept as entries with a mark, so
+that every change has a revision that can be read.
+"""
+
+import base64
+import json
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import requests
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from stoattray_balancer.settings import PlatformSettings
+from stoattray_core import ErrorKind, Refused
+from stoattray_core.configuration import ConfigEntry
+
+N_READ_BACK_TRIES = 3
+READ_BACK_DELAY_SECONDS = 0.2
+TOO_MANY_REQUESTS = 429
+
+
+class StoredValue(BaseModel):
+    """What stands under one key."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    change_id: str
+    deleted: bool = False
+    value: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChanges:
+    """Entries that changed, complete up to a revision."""
+
+    revision: int
+    entries: list[ConfigEntry]
+
+
+@dataclass(frozen=True, slots=True)
+class Precondition:
+    """A key and the revision that it must have; 0 means that it never existed."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A key and its new value; None marks it deleted."""
+
+    key: str
+    value: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class HeldEntry:
+    """One key as the store holds it."""
+
+    revision: int
+    change_id: str
+    value: str | None
+
+
+class RateLimit:
+    """Bounds this node's calls to the platform by a token bucket.
+
+    Parameters
+    ----------
+    per_second : float
+        Calls a second; as many may come at once.
+    """
+
+    def __init__(self, per_second: float) -> None:
+        self._per_second = per_second
+        self._tokens = max(1.0, per_second)
+        self._filled_at = time.monotonic()
+        self.n_calls = 0
+
+    def take(self) -> bool:
+        """Return whether a call may be made now."""
+        now = time.monotonic()
+        filled = self._tokens + (now - self._filled_at) * self._per_second
+        self._tokens = min(max(1.0, self._per_second), filled)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        self.n_calls += 1
+        return True
+
+
+class Store:
+    """Reads and compare-and-swap writes with deadlines.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Where the service is and how often it may be called.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._session = requests.Session()
+        self._limit = RateLimit(settings.max_calls_per_second)
+
+    @property
+    def n_calls(self) -> int:
+        """Return the number of calls so far."""
+        return self._limit.n_calls
+
+    def read(self, after: int) -> StoreChanges | Refused:
+        """Return every entry that changed after a revision."""
+        prefix = self._settings.prefix
+        body = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix[:-1] + chr(ord(prefix[-1]) + 1)),
+            "min_mod_revision": str(after + 1),
+        }
+        answer = self._call("/v3/kv/range", body)
+        if isinstance(answer, Refused):
+            return answer
+        entries: list[ConfigEntry] = []
+        for item in answer.get("kvs", []):
+            held = _read_held(item)
+            if held is not None:
+                key = _decode(item["key"]).removeprefix(prefix)
+                entries.append(ConfigEntry(key, held.revision, held.value))
+        revision = max((entry.revision for entry in entries), default=after)
+        return StoreChanges(revision, entries)
+
+    def get(self, key: str) -> HeldEntry | None | Refused:
+        """Return one key, or None if it never existed."""
+        answer = self._call("/v3/kv/range", {"key": _encode(self._name(key))})
+        if isinstance(answer, Refused):
+            return answer
+        items = answer.get("kvs", [])
+        return _read_held(items[0]) if items else None
+
+    def write(
+        self, conditions: list[Precondition], puts: list[Put], change_id: str
+    ) -> int | Refused:
+        """Change several keys at once if all have the expected revisions.
+
+        Returns
+        -------
+        int or Refused
+            The new revision; else CONFLICT or PLATFORM_UNAVAILABLE (not
+            applied), or OUTCOME_UNKNOWN.
+        """
+        body = {
+            "compare": [self._comparison(item) for item in conditions],
+            "success": [self._put_request(put, change_id) for put in puts],
+            "failure": [],
+        }
+        answer = self._call("/v3/kv/txn", body)
+        if isinstance(answer, Refused):
+            if answer.kind is ErrorKind.OUTCOME_UNKNOWN:
+                return self._read_back(puts[0].key, conditions[0], change_id)
+            return answer
+        if not answer.get("succeeded"):
+            return Refused(ErrorKind.CONFLICT, "the revision has changed")
+        return int(answer["header"]["revision"])
+
+    def watch(self, after: int) -> Iterator[None]:
+        """Yield whenever something changes; ends when the watch is cut."""
+        prefix = self._settings.prefix
+        create = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix[:-1] + chr(ord(prefix[-1]) + 1)),
+            "start_revision": str(after + 1),
+        }
+        if not self._limit.take():
+            return
+        timeout = (self._settings.timeout_seconds, None)
+        try:
+            with self._session.post(
+                self._settings.url + "/v3/watch",
+                json={"create_request": create},
+                stream=True,
+                timeout=timeout,
+            ) as response:
+                for line in response.iter_lines():
+                    if line:
+                        yield
+        except requests.RequestException:
+            return
+
+    def _read_back(
+        self, key: str, condition: Precondition, change_id: str
+    ) -> int | Refused:
+        """Find out whether a write whose answer was lost took effect.
+
+        The write can still arrive while the key is unchanged, so only a
+        changed key settles the question.
+        """
+        for _ in range(N_READ_BACK_TRIES):
+            held = self.get(key)
+            if isinstance(held, HeldEntry):
+                if held.change_id == change_id:
+                    return held.revision
+                if held.revision != condition.revision:
+                    return Refused(ErrorKind.CONFLICT, "another change came first")
+            time.sleep(READ_BACK_DELAY_SECONDS)
+        return Refused(ErrorKind.OUTCOME_UNKNOWN, f"change {change_id}")
+
+    def _comparison(self, condition: Precondition) -> dict[str, str]:
+        return {
+            "key": _encode(self._name(condition.key)),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(condition.revision),
+        }
+
+    def _put_request(self, put: Put, change_id: str) -> dict[str, Any]:
+        stored = StoredValue(
+            change_id=change_id, deleted=put.value is None, value=put.value or ""
+        )
+        return {
+            "request_put": {
+                "key": _encode(self._name(put.key)),
+                "value": _encode(stored.model_dump_json()),
+            }
+        }
+
+    def _name(self, key: str) -> str:
+        return self._settings.prefix + key
+
+    def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any] | Refused:
+        if not self._limit.take():
+            return Refused(ErrorKind.PLATFORM_UNAVAILABLE, "this node's call limit")
+        try:
+            response = self._session.post(
+                self._settings.url + path,
+                json=body,
+                timeout=self._settings.timeout_seconds,
+            )
+        except requests.exceptions.ConnectTimeout:
+            return Refused(ErrorKind.PLATFORM_UNAVAILABLE, "no connection in time")
+        except requests.exceptions.ConnectionError as error:
+            return _judge_connection_error(error)
+        except requests.RequestException as error:
+            return Refused(ErrorKind.OUTCOME_UNKNOWN, type(error).__name__)
+        return _read_answer(response)
+
+
+def _judge_connection_error(error: requests.exceptions.ConnectionError) -> Refused:
+    """Tell a connection that was never made from one that broke later."""
+    is_refused = "NewConnectionError" in repr(error)
+    if is_refused:
+        return Refused(ErrorKind.PLATFORM_UNAVAILABLE, "connection refused")
+    return Refused(ErrorKind.OUTCOME_UNKNOWN, "connection broke")
+
+
+def _read_answer(response: requests.Response) -> dict[str, Any] | Refused:
+    if response.status_code == TOO_MANY_REQUESTS:
+        return Refused(ErrorKind.PLATFORM_UNAVAILABLE, "the platform's call limit")
+    if response.status_code != 200:
+        return Refused(ErrorKind.OUTCOME_UNKNOWN, f"status {response.status_code}")
+    try:
+        answer = response.json()
+    except json.JSONDecodeError:
+        return Refused(ErrorKind.OUTCOME_UNKNOWN, "answer is not JSON")
+    if not isinstance(answer, dict):
+        return Refused(ErrorKind.OUTCOME_UNKNOWN, "answer is not an object")
+    return answer
+
+
+def _read_held(item: dict[str, str]) -> HeldEntry | None:
+    try:
+        stored = StoredValue.model_validate_json(_decode(item["value"]))
+    except (ValidationError, ValueError):
+        return None
+    value = None if stored.deleted else stored.value
+    return HeldEntry(int(item["mod_revision"]), stored.change_id, value)
+
+
+def _encode(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def _decode(text: str) -> str:
+    return base64.b64decode(text).decode()
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/process.py
@@ -0,0 +1,234 @@
+"""One balancer process from start to exit."""
+
+import signal
+import ssl
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import SystemRandom
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from stoattray_balancer._api import Context, build_app
+from stoattray_balancer._datapath import DataPath, udp_socket
+from stoattray_balancer._declarations import Declarations
+from stoattray_balancer._logs import log_event, set_up_logging
+from stoattray_balancer._platform_reader import PlatformReader, forever
+from stoattray_balancer._probes import Prober
+from stoattray_balancer._sealing import Keyring, load_keys
+from stoattray_balancer._store import Store
+from stoattray_balancer._telemetry import Telemetry
+from stoattray_balancer._tokens import TokenCheck, load_tokens
+from stoattray_balancer.settings import ApiSettings, Settings, endpoint_address
+from stoattray_core import (
+    Core,
+    CoreSettings,
+    Identity,
+    MemberId,
+    Millis,
+    StoattrayError,
+)
+
+TICK_SECONDS = 0.02
+NANOS_PER_MILLI = 1_000_000
+LEAVE_LIMIT_SECONDS = 20.0
+EXIT_AT_ONCE = 143
+
+
+def monotonic_millis() -> Millis:
+    """Return monotonic time."""
+    return time.monotonic_ns() // NANOS_PER_MILLI
+
+
+class Process:
+    """Wires the core to sockets, platform and API.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._keyring = Keyring(load_keys(Path(settings.keys_file)))
+        tokens_file = settings.api.tokens_file
+        tokens = load_tokens(Path(tokens_file)) if tokens_file else None
+        self._tokens = TokenCheck(tokens)
+        self._random = SystemRandom()
+        self._incarnation = time.time_ns() // NANOS_PER_MILLI
+        self._core = self._build_core()
+        self._telemetry = Telemetry(settings.telemetry, settings.member, self._core)
+        self._store = Store(settings.platform) if settings.platform else None
+        self._declarations = Declarations(self._core, self._store)
+        self._n_signals = 0
+
+    def run(self) -> int:
+        """Serve until told to stop; return the exit status."""
+        set_up_logging(self._settings.log_level)
+        with ExitStack() as stack:
+            path = stack.enter_context(self._data_path())
+            stack.enter_context(self._api_server(path))
+            stack.enter_context(self._tasks())
+            gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
+            gevent.signal_handler(signal.SIGINT, self._on_stop_signal)
+            gevent.signal_handler(signal.SIGHUP, self._reload)
+            log_event("started", member=self._settings.member)
+            self._serve(path)
+        self._telemetry.stop()
+        log_event("stopped")
+        return 0
+
+    def _build_core(self) -> Core:
+        settings = self._settings
+        identity = Identity(
+            member=MemberId(settings.member),
+            host=settings.host,
+            peer_port=settings.peer_port,
+            relay_port=settings.relay_port,
+            api_port=settings.api.port,
+            data_centre=settings.data_centre,
+            incarnation=self._incarnation,
+        )
+        return Core(
+            identity,
+            seeds=tuple(endpoint_address(seed) for seed in settings.seeds),
+            settings=CoreSettings(),
+            random=self._random,
+            now=monotonic_millis(),
+        )
+
+    def _serve(self, path: DataPath) -> None:
+        while self._n_signals == 0:
+            path.tick()
+            gevent.sleep(TICK_SECONDS)
+        self._drain(path)
+
+    def _drain(self, path: DataPath) -> None:
+        """Hand over, go on forwarding for the set time, then say goodbye."""
+        log_event("draining", seconds=self._settings.drain_seconds)
+        self._core.leave()
+        started = time.monotonic()
+        while not self._may_stop(time.monotonic() - started):
+            path.tick()
+            gevent.sleep(TICK_SECONDS)
+        self._core.say_goodbye()
+        path.carry_out()
+
+    def _may_stop(self, waited: float) -> bool:
+        if self._n_signals > 1 or waited >= LEAVE_LIMIT_SECONDS:
+            return True
+        return self._core.has_left and waited >= self._settings.drain_seconds
+
+    def _on_stop_signal(self) -> None:
+        self._n_signals += 1
+        if self._n_signals > 1:
+            log_event("stopped_at_once")
+            sys.exit(EXIT_AT_ONCE)
+
+    def _reload(self) -> None:
+        """Read keys and tokens anew; keep the old ones if the files are bad."""
+        try:
+            self._keyring.replace(load_keys(Path(self._settings.keys_file)))
+            if self._settings.api.tokens_file:
+                tokens = load_tokens(Path(self._settings.api.tokens_file))
+                self._tokens.replace(tokens)
+        except StoattrayError as error:
+            log_event("reload_failed", kind=error.kind, reason=error.reason)
+            return
+        log_event("reloaded")
+
+    @contextmanager
+    def _data_path(self) -> Iterator[DataPath]:
+        settings = self._settings
+        with ExitStack() as stack:
+            fabric, relays, peers = (
+                stack.enter_context(udp_socket(settings.host, port))
+                for port in (
+                    settings.fabric_port,
+                    settings.relay_port,
+                    settings.peer_port,
+                )
+            )
+            path = DataPath(
+                self._core,
+                fabric=fabric,
+                relays=relays,
+                peers=peers,
+                fabric_return=endpoint_address(settings.fabric_return),
+                keyring=self._keyring,
+                member=MemberId(settings.member),
+                incarnation=self._incarnation,
+                clock=monotonic_millis,
+                telemetry=self._telemetry,
+                sample_one_in=settings.telemetry.sample_one_in,
+            )
+            path.start()
+            try:
+                yield path
+            finally:
+                path.stop()
+
+    @contextmanager
+    def _api_server(self, path: DataPath) -> Iterator[None]:
+        def refresh_members(revision: int) -> None:
+            self._core.ask_revisions(revision)
+            path.carry_out()
+
+        context = Context(
+            core=self._core,
+            declarations=self._declarations,
+            tokens=self._tokens,
+            telemetry=self._telemetry,
+            refresh_members=refresh_members,
+            counters=lambda: {**self._core.counters, **path.counters},
+        )
+        server = WSGIServer(
+            (self._settings.host, self._settings.api.port),
+            build_app(context),
+            log=None,
+            error_log=None,
+            **_tls_arguments(self._settings.api),
+        )
+        server.start()
+        try:
+            yield
+        finally:
+            server.stop(timeout=1)
+
+    @contextmanager
+    def _tasks(self) -> Iterator[None]:
+        prober = Prober(
+            self._core,
+            period_seconds=self._settings.probe_period_seconds,
+            timeout_seconds=self._settings.probe_timeout_seconds,
+        )
+        tasks = [gevent.spawn(forever(prober.run, "prober"))]
+        if self._store is not None and self._settings.platform is not None:
+            reader = PlatformReader(
+                self._core,
+                self._declarations,
+                self._store,
+                poll_seconds=self._settings.platform.poll_seconds,
+                random=self._random,
+            )
+            tasks.append(gevent.spawn(forever(reader.run_reads, "platform_reads")))
+            tasks.append(gevent.spawn(forever(reader.run_watch, "platform_watch")))
+        try:
+            yield
+        finally:
+            gevent.killall(tasks, timeout=1)
+
+
+def _tls_arguments(settings: ApiSettings) -> dict[str, ssl.SSLContext]:
+    if settings.tls is None:
+        return {}
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
+    if settings.tls.client_ca_file is not None:
+        context.load_verify_locations(settings.tls.client_ca_file)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return {"ssl_context": context}
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/wire.py
@@ -0,0 +1,6 @@
+"""The form of messages between balancers, for tools and benchmarks."""
+
+from stoattray_balancer._codec import Envelope, decode, encode, message_size
+from stoattray_balancer._sealing import Keyring, PeerKey
+
+__all__ = ["Envelope", "Keyring", "PeerKey", "decode", "encode", "message_size"]
--- a/packages/stoattray-core/src/stoattray_core/_buckets.py
+++ b/packages/stoattray-core/src/stoattray_core/_buckets.py
@@ -75,12 +75,12 @@
     """Take in buckets that are later than those held."""
     pins_by_key: dict[BucketKey, dict[FlowId, ServerId]] = {}
     for group in pins:
-        key = (ServiceId(group.service), group.shard)
+        key = (ServiceId(group.service_name), group.shard)
         flows = pins_by_key.setdefault(key, {})
         for flow in unpack_group(group):
             flows[flow] = ServerId(group.server)
     for item in buckets:
-        row = state.tables.services.get(ServiceId(item.service))
+        row = state.tables.services.get(ServiceId(item.service_name))
         if row is None or not 0 <= item.shard < N_SHARDS:
             continue
         key = (row.spec.service, item.shard)
--- a/packages/stoattray-core/src/stoattray_core/_distribution.py
+++ b/packages/stoattray-core/src/stoattray_core/_distribution.py
@@ -27,10 +27,11 @@
     ServiceSpec,
 )
 from stoattray_core.messages import ConfigDelta, ConfigPull, EntryState
-from stoattray_core.resources import parse_stored_service
+from stoattray_core.resources import read_service
 
 MAX_DELTA_BYTES = 16_384
 N_READERS = 2
+PUSH_FAN_OUT = 4
 PULL_PERIOD = 100
 SERVICES_PREFIX = "services/"
 ADDRESSES_PREFIX = "addresses/"
@@ -112,8 +113,16 @@
         if tables.config_revision < before:
             raise InvariantViolated("configuration revision went down")
         self.state.log("config_applied", revision=upto, n_entries=len(entries))
+        self._push(before)
         return True
 
+    def _push(self, after: int) -> None:
+        """Send news to a few balancers at once; gossip reaches the rest."""
+        others = [row for row in self.state.others() if row.config_revision <= after]
+        n_receivers = min(PUSH_FAN_OUT, len(others))
+        for row in self.state.random.sample(others, n_receivers):
+            self.on_pull(ConfigPull(after), row.peer_address)
+
     def _apply_entry(self, entry: ConfigEntry) -> None:
         if not entry.key.startswith(SERVICES_PREFIX):
             return
@@ -121,13 +130,13 @@
         if entry.value is None:
             self._remove_service(service)
             return
-        stored = parse_stored_service(entry.value)
-        if stored is None or stored.service.service != service:
+        model = read_service(entry.value)
+        if model is None or model.service != service:
             self._unreadable.add(entry.key)
             self.state.log("config_unreadable", key=entry.key, revision=entry.revision)
             return
         self._unreadable.discard(entry.key)
-        self._install_service(stored.service.to_spec(), entry.revision)
+        self._install_service(model.to_spec(), entry.revision)
 
     def _install_service(self, spec: ServiceSpec, revision: int) -> None:
         row = self.state.tables.services.get(spec.service)
--- a/packages/stoattray-core/src/stoattray_core/_loads.py
+++ b/packages/stoattray-core/src/stoattray_core/_loads.py
@@ -42,7 +42,7 @@
     def on_loads(self, loads: Loads, sender: MemberId) -> None:
         """Take in another owner's counts."""
         for report in loads.reports:
-            row = self.state.tables.services.get(ServiceId(report.service))
+            row = self.state.tables.services.get(ServiceId(report.service_name))
             if row is None or row.revision != report.revision:
                 continue
             servers = [item.server for item in row.spec.servers]
--- a/packages/stoattray-core/src/stoattray_core/_membership.py
+++ b/packages/stoattray-core/src/stoattray_core/_membership.py
@@ -134,6 +134,12 @@
         self._announce(row)
         self.state.log("rejoin", incarnation=row.incarnation)
 
+    def ping_lacking(self, revision: int) -> None:
+        """Ping each balancer that is not known to serve a revision."""
+        for row in self.state.others():
+            if row.config_revision < revision:
+                self.state.send(row.peer_address, self._ping(self._next_sequence()))
+
     def own_state(self) -> MemberState:
         """Return this balancer's state as a message."""
         return describe_member(self.state.self_row)
--- a/packages/stoattray-core/src/stoattray_core/_moves.py
+++ b/packages/stoattray-core/src/stoattray_core/_moves.py
@@ -520,7 +520,7 @@
             self.state.send(address, Done(copy.request, False, shards))
             return
         for group in copy.groups:
-            key = (ServiceId(group.service), group.shard)
+            key = (ServiceId(group.service_name), group.shard)
             copies = self.state.tables.copies.setdefault(key, {})
             for flow in unpack_group(group):
                 copies[flow] = ServerId(group.server)
@@ -559,7 +559,7 @@
     def on_hint(self, hint: Hint) -> None:
         """Note where flows of tracked buckets are."""
         for group in hint.groups:
-            row = self.state.tables.services.get(ServiceId(group.service))
+            row = self.state.tables.services.get(ServiceId(group.service_name))
             bucket = row.buckets[group.shard] if row is not None else None
             if bucket is None or not bucket.tracked:
                 continue
@@ -569,8 +569,10 @@
     def _record_used(self, groups: list[FlowGroup]) -> None:
         """Record flows without opening packet that others have seen at the base."""
         for group in groups:
-            row = self.state.tables.services.get(ServiceId(group.service))
-            move = self.state.tables.moves.get((ServiceId(group.service), group.shard))
+            row = self.state.tables.services.get(ServiceId(group.service_name))
+            move = self.state.tables.moves.get(
+                (ServiceId(group.service_name), group.shard)
+            )
             if row is None or move is None or move.ready_at is not None:
                 continue
             bucket = row.buckets[group.shard]
@@ -625,7 +627,7 @@
     def on_seen(self, seen: Seen) -> None:
         """Note that flows are in use elsewhere."""
         for group in seen.groups:
-            key = (ServiceId(group.service), group.shard)
+            key = (ServiceId(group.service_name), group.shard)
             move = self.state.tables.moves.get(key)
             for flow in unpack_group(group):
                 self._pin_seen[(key, flow)] = self.state.now
--- a/packages/stoattray-core/src/stoattray_core/_ownership.py
+++ b/packages/stoattray-core/src/stoattray_core/_ownership.py
@@ -367,7 +367,7 @@
 
     def _store_copies(self, groups: list[FlowGroup]) -> None:
         for group in groups:
-            key = (ServiceId(group.service), group.shard)
+            key = (ServiceId(group.service_name), group.shard)
             if key[0] not in self.state.tables.services:
                 continue
             copies = self.state.tables.copies.setdefault(key, {})
--- a/packages/stoattray-core/src/stoattray_core/_updates.py
+++ b/packages/stoattray-core/src/stoattray_core/_updates.py
@@ -33,12 +33,12 @@
         """Return recent UDP flows of the buckets that become tracked."""
         groups: list[FlowGroup] = []
         for item in update.buckets:
-            row = self.state.tables.services.get(ServiceId(item.service))
+            row = self.state.tables.services.get(ServiceId(item.service_name))
             if row is None or row.spec.protocol != UDP or not item.tracked:
                 continue
             bucket = row.buckets[item.shard]
             flows = bucket.used | bucket.used_before if bucket is not None else set()
             if flows:
                 packed = b"".join(sorted(flows))
-                groups.append(FlowGroup(item.service, item.shard, "", packed))
+                groups.append(FlowGroup(item.service_name, item.shard, "", packed))
         return groups
--- a/packages/stoattray-core/src/stoattray_core/core.py
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -146,6 +146,16 @@
         """Return the revision of the configuration in force here."""
         return self._state.tables.config_revision
 
+    @property
+    def settings(self) -> CoreSettings:
+        """Return timing and limits."""
+        return self._state.settings
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this balancer may decide about packets."""
+        return self._state.is_ready
+
     @property
     def is_reader(self) -> bool:
         """Return whether this balancer reads the platform."""
@@ -208,6 +218,10 @@
         """Return the backend servers to probe, with their health endpoints."""
         return self._health.targets()
 
+    def ask_revisions(self, revision: int) -> None:
+        """Ping each balancer that is not known to serve `revision`."""
+        self._membership.ping_lacking(revision)
+
     def tick(self, now: Millis) -> None:
         """Run every system once, in a fixed order."""
         gap = now - self._state.now
--- a/packages/stoattray-core/src/stoattray_core/messages.py
+++ b/packages/stoattray-core/src/stoattray_core/messages.py
@@ -56,7 +56,7 @@
     declares its backend servers at ``revision``.
     """
 
-    service: str
+    service_name: str
     revision: int
     counts: bytes
 
@@ -101,7 +101,7 @@
     ``flows`` holds flow ids of six bytes each, one after the other.
     """
 
-    service: str
+    service_name: str
     shard: int
     server: str
     flows: bytes
@@ -111,7 +111,7 @@
 class BucketState:
     """Placement of one shard of one service."""
 
-    service: str
+    service_name: str
     shard: int
     epoch: int
     version: int
--- a/packages/stoattray-core/src/stoattray_core/resources.py
+++ b/packages/stoattray-core/src/stoattray_core/resources.py
@@ -129,13 +129,6 @@
         )
 
 
-class StoredServiceModel(Model):
-    """A service as it stands in the platform's store."""
-
-    change_id: str
-    service: ServiceModel
-
-
 def _reject_repeat(what: str, values: list[str]) -> None:
     for index, value in enumerate(values):
         if value in values[:index]:
@@ -171,9 +164,9 @@
         raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason) from None
 
 
-def parse_stored_service(text: str) -> StoredServiceModel | None:
-    """Return a stored value, or None if it can't be read."""
+def read_service(text: str) -> ServiceModel | None:
+    """Return the service in an entry of the store, or None if it can't be read."""
     try:
-        return StoredServiceModel.model_validate_json(text)
+        return ServiceModel.model_validate_json(text)
     except ValidationError:
         return None
--- /dev/null
+++ b/packages/stoattray-operator/src/stoattray_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of stoattray."""
--- /dev/null
+++ b/packages/stoattray-operator/src/stoattray_operator/_documents.py
@@ -0,0 +1,72 @@
+"""Reading of declarations: one JSON document or a list of them."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from stoattray_core import ErrorKind, StoattrayError
+from stoattray_core.resources import ServiceModel, parse_service
+
+MAX_FILE_BYTES = 2_000_000
+
+
+def read_services(source: str) -> list[ServiceModel]:
+    """Return the services that a file declares, ``-`` for standard input.
+
+    Raises
+    ------
+    StoattrayError
+        INVALID_ARGUMENT or TOO_LARGE, with the key, value and expectation.
+    """
+    text = _read_text(source)
+    try:
+        value = json.loads(text)
+    except json.JSONDecodeError as error:
+        raise StoattrayError(
+            ErrorKind.INVALID_ARGUMENT, f"{source}: {error}; expected JSON"
+        ) from None
+    documents = value if isinstance(value, list) else [value]
+    services = [_read_one(source, document) for document in documents]
+    _reject_shared_addresses(source, services)
+    return services
+
+
+def _read_text(source: str) -> str:
+    try:
+        if source == "-":
+            text = sys.stdin.read(MAX_FILE_BYTES + 1)
+        else:
+            with Path(source).open(encoding="utf-8") as file:
+                text = file.read(MAX_FILE_BYTES + 1)
+    except (OSError, UnicodeDecodeError) as error:
+        reason = f"{source}: {error}; expected a readable JSON file"
+        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason) from None
+    if len(text) > MAX_FILE_BYTES:
+        reason = f"{source}: over {MAX_FILE_BYTES} bytes; expected a smaller file"
+        raise StoattrayError(ErrorKind.TOO_LARGE, reason)
+    return text
+
+
+def _read_one(source: str, document: Any) -> ServiceModel:
+    try:
+        return parse_service(json.dumps(document))
+    except StoattrayError as error:
+        raise StoattrayError(error.kind, f"{source}: {error.reason}") from None
+
+
+def _reject_shared_addresses(source: str, services: list[ServiceModel]) -> None:
+    names: set[str] = set()
+    holders: dict[int, str] = {}
+    for service in services:
+        if service.service in names:
+            reason = f"{source}: service {service.service!r} is declared twice"
+            raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
+        names.add(service.service)
+        holder = holders.setdefault(service.spec.key, service.service)
+        if holder != service.service:
+            reason = (
+                f"{source}: spec.address={service.spec.address!r} of "
+                f"{service.service!r}: {holder!r} has it too; expected a free address"
+            )
+            raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
--- /dev/null
+++ b/packages/stoattray-operator/src/stoattray_operator/client.py
@@ -0,0 +1,176 @@
+"""Client of the resource API."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import requests
+
+from stoattray_core import ErrorKind, StoattrayError
+
+MAX_CONFLICT_RETRIES = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Access:
+    """How the API is reached.
+
+    Parameters
+    ----------
+    server : str
+        Base URL of any balancer's API.
+    token : str or None
+        Bearer token.
+    ca_file : str or None
+        PEM file of the authority that signed the API's certificate.
+    client_files : tuple of str or None
+        Certificate and key files of this client.
+    timeout_seconds : float
+        Limit of one call.
+    """
+
+    server: str
+    token: str | None = None
+    ca_file: str | None = None
+    client_files: tuple[str, str] | None = None
+    timeout_seconds: float = 10.0
+
+
+class Client:
+    """Calls the resource API of one balancer.
+
+    Parameters
+    ----------
+    access : Access
+        Where and with which credentials.
+    """
+
+    def __init__(self, access: Access) -> None:
+        self._access = access
+        self._session = requests.Session()
+        self._session.verify = access.ca_file or True
+        self._session.cert = access.client_files
+        if access.token is not None:
+            self._session.headers["Authorization"] = f"Bearer {access.token}"
+
+    def list_services(self, organisation: str) -> dict[str, Any]:
+        """Return the services in force on the balancer."""
+        return self._call("GET", f"/v1/organisations/{organisation}/services")
+
+    def get_service(self, organisation: str, name: str) -> dict[str, Any]:
+        """Return a service as the platform holds it."""
+        return self._call("GET", _service_path(organisation, name))
+
+    def current_revision(self, organisation: str, name: str) -> int:
+        """Return a service's revision, 0 if there is none."""
+        try:
+            return int(self.get_service(organisation, name)["revision"])
+        except StoattrayError as error:
+            if error.kind is ErrorKind.NOT_FOUND:
+                return 0
+            raise
+
+    def put_service(
+        self, service: dict[str, Any], revision: int, *, dry_run: bool = False
+    ) -> dict[str, Any]:
+        """Create or change a service."""
+        path = _service_path(service["organisation"], service["name"])
+        query = {"dry_run": "true"} if dry_run else {}
+        body = {"revision": revision, "service": service}
+        return self._call("PUT", path, body=body, query=query)
+
+    def delete_service(
+        self, organisation: str, name: str, revision: int
+    ) -> dict[str, Any]:
+        """Delete a service."""
+        path = _service_path(organisation, name)
+        return self._call("DELETE", path, query={"revision": str(revision)})
+
+    def set_server_state(
+        self, organisation: str, name: str, server: str, state: str
+    ) -> dict[str, Any]:
+        """Change the declared state of one backend server.
+
+        The change is based anew on the current revision when another operator's
+        change came between.
+        """
+        for attempt in range(MAX_CONFLICT_RETRIES):
+            current = self.get_service(organisation, name)
+            servers = current["service"]["spec"]["backend_servers"]
+            found = [item for item in servers if item["name"] == server]
+            if not found:
+                reason = f"backend server {server!r} does not exist"
+                raise StoattrayError(ErrorKind.NOT_FOUND, reason)
+            body = {
+                "revision": current["revision"],
+                "backend_server": {**found[0], "state": state},
+            }
+            path = f"{_service_path(organisation, name)}/backend-servers/{server}"
+            try:
+                return self._call("PUT", path, body=body)
+            except StoattrayError as error:
+                is_last = attempt == MAX_CONFLICT_RETRIES - 1
+                if error.kind is not ErrorKind.CONFLICT or is_last:
+                    raise
+        raise StoattrayError(ErrorKind.CONFLICT, "unreachable")
+
+    def status(
+        self, revision: int | None = None, wait_seconds: float = 0.0
+    ) -> dict[str, Any]:
+        """Return who serves a revision, once in force or after a wait."""
+        query = {"wait_seconds": str(wait_seconds)}
+        if revision is not None:
+            query["revision"] = str(revision)
+        return self._call("GET", "/v1/status", query=query, extra_wait=wait_seconds)
+
+    def counters(self) -> dict[str, Any]:
+        """Return the balancer's counts of events."""
+        return self._call("GET", "/v1/counters")
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: dict[str, Any] | None = None,
+        query: dict[str, str] | None = None,
+        extra_wait: float = 0.0,
+    ) -> dict[str, Any]:
+        try:
+            response = self._session.request(
+                method,
+                self._access.server + path,
+                json=body,
+                params=query,
+                timeout=self._access.timeout_seconds + extra_wait,
+            )
+            answer = response.json()
+        except requests.exceptions.ConnectTimeout as error:
+            raise self._unreachable(error) from None
+        except requests.exceptions.ConnectionError as error:
+            raise self._unreachable(error) from None
+        except (requests.RequestException, json.JSONDecodeError) as error:
+            reason = f"no usable answer of {self._access.server}: {error}"
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            if method == "GET":
+                kind = ErrorKind.PLATFORM_UNAVAILABLE
+            raise StoattrayError(kind, reason) from None
+        if response.ok:
+            return answer
+        raise _read_error(answer, response.status_code)
+
+    def _unreachable(self, error: Exception) -> StoattrayError:
+        reason = f"{self._access.server} can't be reached ({type(error).__name__})"
+        return StoattrayError(ErrorKind.PLATFORM_UNAVAILABLE, reason)
+
+
+def _service_path(organisation: str, name: str) -> str:
+    return f"/v1/organisations/{organisation}/services/{name}"
+
+
+def _read_error(answer: Any, status: int) -> StoattrayError:
+    try:
+        error = answer["error"]
+        return StoattrayError(ErrorKind(error["kind"]), str(error["reason"]))
+    except (KeyError, TypeError, ValueError):
+        return StoattrayError(ErrorKind.INTERNAL, f"status {status} without reason")
--- /dev/null
+++ b/packages/stoattray-operator/src/stoattray_operator/main.py
@@ -0,0 +1,303 @@
+"""Command line of operators: ``stoattrayctl``."""
+
+import argparse
+import difflib
+import json
+import os
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from stoattray_core import ErrorKind, StoattrayError
+from stoattray_core.resources import ServiceModel
+from stoattray_operator._documents import read_services
+from stoattray_operator._tables import format_table
+from stoattray_operator.client import Access, Client
+
+DEFAULT_SERVER = "https://127.0.0.1:7443"
+LONGEST_WAIT_SECONDS = 30.0
+WATCH_PERIOD_SECONDS = 1.0
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line and return the exit status."""
+    arguments = _parser().parse_args(argv)
+    client = Client(
+        Access(
+            server=arguments.server.rstrip("/"),
+            token=os.environ.get("STOATTRAY_TOKEN"),
+            ca_file=arguments.ca_file,
+            client_files=(
+                (arguments.certificate, arguments.key)
+                if arguments.certificate
+                else None
+            ),
+        )
+    )
+    try:
+        return arguments.run(client, arguments)
+    except StoattrayError as error:
+        print(f"stoattrayctl: {error.kind}: {error.reason}", file=sys.stderr)
+        return error.answer.exit_status
+    except KeyboardInterrupt:
+        return 130
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="stoattrayctl",
+        description="Declares services and watches them come into force. "
+        "The bearer token is read from STOATTRAY_TOKEN.",
+    )
+    server = os.environ.get("STOATTRAY_SERVER", DEFAULT_SERVER)
+    parser.add_argument("--server", default=server, help="URL of any balancer's API")
+    parser.add_argument("--ca-file", help="PEM file of the API's authority")
+    parser.add_argument("--certificate", help="PEM file of the client's certificate")
+    parser.add_argument("--key", help="PEM file of the client's key")
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_apply(commands)
+    _add_get(commands)
+    _add_delete(commands)
+    _add_drain(commands)
+    _add_wait(commands)
+    _add_status(commands)
+    return parser
+
+
+def _add_apply(commands: Any) -> None:
+    apply = commands.add_parser("apply", help="declare services from a file")
+    apply.add_argument("-f", "--file", required=True, help="JSON file, - for stdin")
+    apply.add_argument("--dry-run", action="store_true", help="show the difference")
+    apply.add_argument(
+        "--revision", type=int, help="base of the change; default: the current one"
+    )
+    _add_output(apply)
+    apply.set_defaults(run=_apply)
+
+
+def _add_get(commands: Any) -> None:
+    get = commands.add_parser("get", help="list services, or show one")
+    get.add_argument("name", help="ORGANISATION or ORGANISATION/SERVICE")
+    _add_output(get)
+    get.set_defaults(run=_get)
+    describe = commands.add_parser("describe", help="show a service with its servers")
+    describe.add_argument("name", help="ORGANISATION/SERVICE")
+    describe.set_defaults(run=_describe)
+
+
+def _add_delete(commands: Any) -> None:
+    delete = commands.add_parser("delete", help="delete a service")
+    delete.add_argument("name", help="ORGANISATION/SERVICE")
+    delete.add_argument("--revision", type=int, help="delete only this revision")
+    delete.set_defaults(run=_delete)
+
+
+def _add_drain(commands: Any) -> None:
+    for command, state, text in (
+        ("drain", "draining", "give a backend server no new flows"),
+        ("activate", "active", "give a drained backend server new flows again"),
+    ):
+        drain = commands.add_parser(command, help=text)
+        drain.add_argument("name", help="ORGANISATION/SERVICE")
+        drain.add_argument("backend_server", help="name of the backend server")
+        drain.set_defaults(run=_set_state, state=state)
+
+
+def _add_wait(commands: Any) -> None:
+    wait = commands.add_parser("wait", help="wait for a revision")
+    wait.add_argument("--for", dest="condition", choices=["in-force"], required=True)
+    wait.add_argument("--revision", type=int, required=True)
+    wait.add_argument("--timeout", type=float, default=30.0, help="in seconds")
+    _add_output(wait)
+    wait.set_defaults(run=_wait)
+
+
+def _add_status(commands: Any) -> None:
+    status = commands.add_parser("status", help="show who serves which revision")
+    status.add_argument("--revision", type=int)
+    _add_output(status)
+    status.set_defaults(run=_status)
+    watch = commands.add_parser("watch", help="print the status whenever it changes")
+    watch.add_argument("--revision", type=int)
+    watch.set_defaults(run=_watch)
+    counters = commands.add_parser("counters", help="show a balancer's event counts")
+    counters.set_defaults(run=_counters)
+
+
+def _add_output(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("-o", "--output", choices=["table", "json"], default="table")
+
+
+def _apply(client: Client, arguments: argparse.Namespace) -> int:
+    services = read_services(arguments.file)
+    rows: list[tuple[str, int, str]] = []
+    for service in services:
+        rows.append(_apply_one(client, service, arguments))
+    if arguments.output == "json":
+        items = [
+            {"service": name, "revision": revision, "result": result}
+            for name, revision, result in rows
+        ]
+        print(json.dumps(items, indent=2))
+    else:
+        print(format_table(("SERVICE", "REVISION", "RESULT"), rows))
+    return 0
+
+
+def _apply_one(
+    client: Client, service: ServiceModel, arguments: argparse.Namespace
+) -> tuple[str, int, str]:
+    document = service.model_dump(mode="json")
+    revision = arguments.revision
+    if revision is None:
+        revision = client.current_revision(service.organisation, service.name)
+    preview = client.put_service(document, revision, dry_run=True)
+    if preview["before"] == preview["after"]:
+        return service.service, revision, "unchanged"
+    if arguments.dry_run:
+        _print_difference(service.service, preview)
+        return service.service, revision, "would change"
+    answer = client.put_service(document, revision)
+    result = "created" if preview["before"] is None else "changed"
+    return service.service, int(answer["revision"]), result
+
+
+def _print_difference(name: str, preview: dict[str, Any]) -> None:
+    before, after = (
+        json.dumps(preview[side], indent=2).splitlines() if preview[side] else []
+        for side in ("before", "after")
+    )
+    for line in difflib.unified_diff(
+        before, after, f"{name} in force", f"{name} declared", lineterm=""
+    ):
+        print(line)
+
+
+def _get(client: Client, arguments: argparse.Namespace) -> int:
+    organisation, _, name = arguments.name.partition("/")
+    if name:
+        items = [client.get_service(organisation, name)]
+    else:
+        items = client.list_services(organisation)["items"]
+    if arguments.output == "json":
+        print(json.dumps(items, indent=2))
+        return 0
+    header = ("SERVICE", "REVISION", "ADDRESS", "POLICY", "BACKEND SERVERS")
+    print(format_table(header, [_service_row(item) for item in items]))
+    return 0
+
+
+def _service_row(item: dict[str, Any]) -> tuple[str, int, str, str, int]:
+    service = item["service"]
+    spec = service["spec"]
+    return (
+        f"{service['organisation']}/{service['name']}",
+        item["revision"],
+        f"{spec['address']}:{spec['port']}/{spec['protocol']}",
+        spec["policy"],
+        len(spec["backend_servers"]),
+    )
+
+
+def _describe(client: Client, arguments: argparse.Namespace) -> int:
+    organisation, name = _split_name(arguments.name)
+    item = client.get_service(organisation, name)
+    print(
+        format_table(
+            ("SERVICE", "REVISION", "ADDRESS", "POLICY", "BACKEND SERVERS"),
+            [_service_row(item)],
+        )
+    )
+    print()
+    servers = item["service"]["spec"]["backend_servers"]
+    rows = [
+        (
+            server["name"],
+            f"{server['address']}:{server['port']}",
+            server["state"],
+            server["weight"],
+        )
+        for server in servers
+    ]
+    print(format_table(("BACKEND SERVER", "ADDRESS", "STATE", "WEIGHT"), rows))
+    return 0
+
+
+def _delete(client: Client, arguments: argparse.Namespace) -> int:
+    organisation, name = _split_name(arguments.name)
+    revision = arguments.revision
+    if revision is None:
+        revision = int(client.get_service(organisation, name)["revision"])
+    answer = client.delete_service(organisation, name, revision)
+    print(f"{arguments.name} deleted at revision {answer['revision']}")
+    return 0
+
+
+def _set_state(client: Client, arguments: argparse.Namespace) -> int:
+    organisation, name = _split_name(arguments.name)
+    server = arguments.backend_server
+    answer = client.set_server_state(organisation, name, server, arguments.state)
+    print(f"{server} {arguments.state} at revision {answer['revision']}")
+    return 0
+
+
+def _wait(client: Client, arguments: argparse.Namespace) -> int:
+    deadline = time.monotonic() + arguments.timeout
+    while True:
+        left = max(0.0, deadline - time.monotonic())
+        report = client.status(arguments.revision, min(left, LONGEST_WAIT_SECONDS))
+        if report["in_force"]:
+            _print_status(report, arguments.output)
+            return 0
+        if time.monotonic() >= deadline:
+            _print_status(report, arguments.output)
+            missing = ",".join(report["lack"]) or "nobody in reach"
+            reason = f"revision {arguments.revision} is not in force: {missing}"
+            raise StoattrayError(ErrorKind.DEADLINE_EXCEEDED, reason)
+
+
+def _status(client: Client, arguments: argparse.Namespace) -> int:
+    _print_status(client.status(arguments.revision), arguments.output)
+    return 0
+
+
+def _watch(client: Client, arguments: argparse.Namespace) -> int:
+    shown = None
+    while True:
+        report = client.status(arguments.revision)
+        if report != shown:
+            print(json.dumps(report), flush=True)
+            shown = report
+        time.sleep(WATCH_PERIOD_SECONDS)
+
+
+def _counters(client: Client, _: argparse.Namespace) -> int:
+    print(format_table(("EVENT", "COUNT"), client.counters().items()))
+    return 0
+
+
+def _print_status(report: dict[str, Any], output: str) -> None:
+    if output == "json":
+        print(json.dumps(report, indent=2))
+        return
+    rows = [
+        *((name, "in force") for name in report["have"]),
+        *((name, "older revision") for name in report["lack"]),
+        *((name, "unreachable") for name in report["unreachable"]),
+    ]
+    state = "in force" if report["in_force"] else "not in force"
+    print(f"revision {report['revision']}: {state}")
+    print(format_table(("BALANCER", "STATE"), rows))
+
+
+def _split_name(name: str) -> tuple[str, str]:
+    organisation, _, service = name.partition("/")
+    if not service:
+        reason = f"{name!r}: expected ORGANISATION/SERVICE"
+        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
+    return organisation, service
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/stoattray-standin/src/stoattray_standin/backend_servers.py
@@ -0,0 +1,111 @@
+"""Stand-in backend servers: each takes packets on a UDP endpoint of its own.
+
+A backend server answers the opening packet, answers each packet with content
+by ``service/server:sequence``, and resets flows that it does not know. Answers
+go to the fabric's return endpoint, never through a balancer.
+"""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import dpkt
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from stoattray_core import Address
+from stoattray_standin.packets import ACK, FIN, RST, SYN, Endpoint, tcp_packet
+
+RECEIVE_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 8_388_608
+
+
+@dataclass(slots=True)
+class BackendServer:
+    """One stand-in backend server."""
+
+    service: str
+    name: str
+    address: Address
+    return_address: Address
+    open_flows: set[bytes] = field(default_factory=set)
+    last_opened_at: float = 0.0
+    n_opened: int = 0
+    n_resets: int = 0
+    _sock: socket.socket = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._sock.bind(self.address)
+
+    def run(self) -> None:
+        """Answer packets for ever."""
+        while True:
+            data = self._sock.recv(RECEIVE_BYTES)
+            answer = self.answer(data)
+            if answer is not None:
+                self._sock.sendto(answer, self.return_address)
+
+    def close(self) -> None:
+        """Release the endpoint."""
+        self._sock.close()
+
+    def answer(self, data: bytes) -> bytes | None:
+        """Return the answer to one packet."""
+        packet = dpkt.ip.IP(data)
+        segment = packet.data
+        caller = Endpoint(socket.inet_ntoa(packet.src), segment.sport)
+        own = Endpoint(socket.inet_ntoa(packet.dst), segment.dport)
+        flow = packet.src + packet.dst + data[20:24]
+        if segment.flags & SYN:
+            if flow not in self.open_flows:
+                self.open_flows.add(flow)
+                self.n_opened += 1
+                self.last_opened_at = time.monotonic()
+            return tcp_packet(
+                own,
+                caller,
+                flags=SYN | ACK,
+                acknowledgement=segment.seq + 1,
+                payload=self._label(0),
+            )
+        if flow not in self.open_flows:
+            self.n_resets += 1
+            return tcp_packet(
+                own, caller, flags=RST, sequence=segment.ack, payload=self._label(0)
+            )
+        if segment.flags & FIN:
+            self.open_flows.discard(flow)
+        return tcp_packet(
+            own,
+            caller,
+            flags=ACK,
+            acknowledgement=segment.seq + 1,
+            payload=self._label(segment.seq),
+        )
+
+    def _label(self, sequence: int) -> bytes:
+        return f"{self.service}/{self.name}:{sequence}".encode()
+
+
+@contextmanager
+def health_endpoint(address: Address) -> Iterator[StreamServer]:
+    """Own a TCP endpoint that takes connections, which is all a probe asks."""
+    server = StreamServer(address, _accept)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def _accept(connection: socket.socket, _: Address) -> None:
+    connection.close()
+
+
+def spawn(servers: list[BackendServer]) -> list[gevent.Greenlet]:
+    """Run backend servers in the background."""
+    return [gevent.spawn(server.run) for server in servers]
--- /dev/null
+++ b/packages/stoattray-standin/src/stoattray_standin/callers.py
@@ -0,0 +1,200 @@
+"""Stand-in callers behind a stand-in fabric that sprays packets over balancers."""
+
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import dpkt
+import gevent
+from gevent import socket
+
+from stoattray_core import Address
+from stoattray_standin.packets import ACK, FIN, PUSH, RST, SYN, Endpoint, tcp_packet
+
+RECEIVE_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 8_388_608
+OPENING_RETRY_SECONDS = 1.0
+CONTENT_RETRY_SECONDS = 0.4
+MAX_TRIES = 15
+FIRST_PORT = 10_000
+N_PORTS = 50_000
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Flows of one service.
+
+    Parameters
+    ----------
+    service : str
+        Full name, as backend servers put it into answers.
+    destination : Endpoint
+        Address of the service.
+    flows_per_second : float
+        Flows that open each second.
+    n_packets : tuple of int
+        Lengths of flows in packets with content; one is drawn for each.
+    interval : float
+        Seconds between two packets of a flow.
+    """
+
+    service: str
+    destination: Endpoint
+    flows_per_second: float
+    n_packets: tuple[int, ...]
+    interval: float
+
+
+@dataclass(slots=True)
+class CallerFlow:
+    """One flow as its caller sees it."""
+
+    workload: Workload
+    source: Endpoint
+    n_packets: int
+    sequence: int = 0
+    tries: int = 0
+    server: str = ""
+    outcome: str = ""
+    answered: "gevent.event.Event" = field(default_factory=lambda: gevent.event.Event())
+
+
+class Callers:
+    """Opens flows, sends their packets through the fabric and judges the answers.
+
+    Parameters
+    ----------
+    balancers : list of Address
+        Fabric endpoints; each packet goes to one of them at random.
+    return_address : Address
+        Where answers arrive.
+    seed : int
+        Seed of all chance.
+    """
+
+    def __init__(
+        self, balancers: list[Address], return_address: Address, seed: int
+    ) -> None:
+        self.balancers = list(balancers)
+        self.stats: Counter[str] = Counter()
+        self.broken: list[str] = []
+        self._random = Random(seed)
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._sock.bind(return_address)
+        self._flows: dict[bytes, CallerFlow] = {}
+        self._n_opened = 0
+        self.is_opening = True
+
+    def run_answers(self) -> None:
+        """Hand answers to their flows for ever."""
+        while True:
+            self._on_answer(self._sock.recv(RECEIVE_BYTES))
+
+    def run_workload(self, workload: Workload) -> None:
+        """Open flows at the workload's rate until told to stop."""
+        started = time.monotonic()
+        n_opened = 0
+        while self.is_opening:
+            due = int((time.monotonic() - started) * workload.flows_per_second)
+            for _ in range(due - n_opened):
+                gevent.spawn(self._run_flow, self._new_flow(workload))
+            n_opened = due
+            gevent.sleep(0.02)
+
+    @property
+    def n_open(self) -> int:
+        """Return the number of flows that have not ended."""
+        return len(self._flows)
+
+    def _new_flow(self, workload: Workload) -> CallerFlow:
+        number = self._n_opened
+        self._n_opened += 1
+        host = f"203.0.113.{1 + number // N_PORTS % 250}"
+        source = Endpoint(host, FIRST_PORT + number % N_PORTS)
+        n_packets = self._random.choice(workload.n_packets)
+        flow = CallerFlow(workload, source, n_packets)
+        self._flows[_answer_key(flow)] = flow
+        self.stats["flows"] += 1
+        return flow
+
+    def _run_flow(self, flow: CallerFlow) -> None:
+        is_open = self._exchange(flow, SYN, b"", OPENING_RETRY_SECONDS)
+        while is_open and flow.sequence <= flow.n_packets:
+            gevent.sleep(flow.workload.interval)
+            is_last = flow.sequence == flow.n_packets
+            flags = FIN | ACK if is_last else ACK | PUSH
+            payload = b"" if is_last else b"request"
+            is_open = self._exchange(flow, flags, payload, CONTENT_RETRY_SECONDS)
+        outcome = flow.outcome or "done"
+        self.stats[outcome] += 1
+        del self._flows[_answer_key(flow)]
+
+    def _exchange(
+        self, flow: CallerFlow, flags: int, payload: bytes, retry_seconds: float
+    ) -> bool:
+        """Send one packet until it is answered; return whether the flow lives."""
+        packet = tcp_packet(
+            flow.source,
+            flow.workload.destination,
+            flags=flags,
+            payload=payload,
+            sequence=flow.sequence,
+        )
+        sequence = flow.sequence
+        for _ in range(MAX_TRIES):
+            flow.answered.clear()
+            self.stats["packets"] += 1
+            self._sock.sendto(packet, self._random.choice(self.balancers))
+            flow.answered.wait(retry_seconds)
+            if flow.outcome:
+                return False
+            if flow.sequence > sequence:
+                return True
+        self._break(flow, "no answer")
+        return False
+
+    def _break(self, flow: CallerFlow, why: str) -> None:
+        flow.outcome = "broken"
+        self.broken.append(f"{flow.workload.service} {flow.source} {flow.server} {why}")
+
+    def _on_answer(self, data: bytes) -> None:
+        packet = dpkt.ip.IP(data)
+        segment = packet.data
+        key = packet.dst + packet.src + data[22:24] + data[20:22]
+        flow = self._flows.get(key)
+        if flow is None or flow.outcome:
+            return
+        label, _, sequence = bytes(segment.data).decode().rpartition(":")
+        if label and not label.startswith(flow.workload.service + "/"):
+            self.stats["misdelivered"] += 1
+            self.broken.append(f"{flow.workload.service} answered by {label}")
+        if segment.flags & RST:
+            self._on_reset(flow, label)
+        elif segment.flags & SYN:
+            self._on_opened(flow, label)
+        elif int(sequence) == flow.sequence and label == flow.server:
+            flow.sequence += 1
+        flow.answered.set()
+
+    def _on_opened(self, flow: CallerFlow, label: str) -> None:
+        if flow.sequence == 0:
+            flow.server = label
+            flow.sequence = 1
+
+    def _on_reset(self, flow: CallerFlow, label: str) -> None:
+        if flow.sequence == 0:
+            flow.outcome = "refused"
+        else:
+            self._break(flow, f"reset by {label or 'a balancer'}")
+
+
+def _answer_key(flow: CallerFlow) -> bytes:
+    destination = flow.workload.destination
+    return (
+        flow.source.packed
+        + destination.packed
+        + flow.source.port.to_bytes(2)
+        + destination.port.to_bytes(2)
+    )
--- /dev/null
+++ b/packages/stoattray-standin/src/stoattray_standin/demo.py
@@ -0,0 +1,347 @@
+"""The main job: both organisations' services on four balancers, through changes.
+
+``python -m stoattray_standin.demo [--json] [--short] [--seed N]``
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402 - gevent patches the standard library first
+import json  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from dataclasses import asdict, dataclass, field  # noqa: E402
+
+import gevent  # noqa: E402
+
+from stoattray_core.resources import ServiceModel  # noqa: E402
+from stoattray_operator._tables import format_table  # noqa: E402
+from stoattray_standin._ports import HOST, free_ports  # noqa: E402
+from stoattray_standin.callers import Callers, Workload  # noqa: E402
+from stoattray_standin.local import LocalSystem, local_system  # noqa: E402
+from stoattray_standin.packets import Endpoint  # noqa: E402
+
+BALANCERS = ("b1", "b2", "b3", "b4")
+IN_FORCE_LIMIT_SECONDS = 15.0
+FLOW_END_LIMIT_SECONDS = 60.0
+SAMPLE_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One service of the main job."""
+
+    organisation: str
+    name: str
+    address: str
+    n_servers: int
+    policy: str
+    flows_per_second: float
+    n_packets: tuple[int, ...]
+    interval: float
+
+
+DEPLOYMENTS = (
+    Deployment("tanglaw", "lookup", "192.0.2.10", 7, "continuity", 20, (2, 5), 0.1),
+    Deployment("tanglaw", "archive", "192.0.2.11", 3, "continuity", 4, (60, 120), 0.1),
+    Deployment("ferreyra", "aula-core", "192.0.2.20", 7, "balance", 20, (2, 5), 0.1),
+    Deployment("ferreyra", "aula-video", "192.0.2.21", 4, "balance", 4, (60, 120), 0.1),
+)
+
+
+@dataclass(slots=True)
+class ChangeResult:
+    """One planned change or fault and what it took."""
+
+    change: str
+    seconds: float
+    measured: str
+
+
+@dataclass(slots=True)
+class DemoResult:
+    """Figures of one run."""
+
+    flows: int = 0
+    done: int = 0
+    refused: int = 0
+    broken: int = 0
+    misdelivered: int = 0
+    imbalance: dict[str, float] = field(default_factory=dict)
+    changes: list[ChangeResult] = field(default_factory=list)
+
+
+class Demo:
+    """Runs the main job step by step.
+
+    Parameters
+    ----------
+    system : LocalSystem
+        Owns the processes.
+    seed : int
+        Seed of callers and fabric.
+    phase_seconds : float
+        Time between two changes.
+    progress : callable
+        Takes one line for people.
+    """
+
+    def __init__(
+        self,
+        system: LocalSystem,
+        *,
+        seed: int,
+        phase_seconds: float,
+        progress: Callable[[str], None],
+    ) -> None:
+        self._system = system
+        self._phase_seconds = phase_seconds
+        self._progress = progress
+        self._services: dict[str, ServiceModel] = {}
+        self._samples: dict[str, list[float]] = {}
+        self._callers = Callers([], (HOST, system.return_port), seed)
+        self._seed = seed
+        self.result = DemoResult()
+
+    def run(self) -> DemoResult:
+        """Run everything and return the figures."""
+        self._start()
+        tasks = self._start_load()
+        self._phase("steady load")
+        self._stop_balancer()
+        self._kill_balancer()
+        self._drain_server()
+        self._join_server()
+        self._callers.is_opening = False
+        self._finish_flows()
+        gevent.killall(tasks)
+        self._collect()
+        return self.result
+
+    def _start(self) -> None:
+        self._progress("starting platform, backend servers and balancers")
+        self._system.start_platform()
+        self._plan_services()
+        for name in BALANCERS:
+            self._system.plan_balancer(name)
+        for name in BALANCERS:
+            self._system.start_balancer(name)
+        self._system.wait_ready(list(BALANCERS))
+        client = self._system.balancers["b1"].client()
+        for service in self._services.values():
+            answer = client.put_service(service.model_dump(mode="json"), 0)
+        self._wait_in_force(int(answer["revision"]), "declare four services")
+        self._callers.balancers = [
+            balancer.fabric_address for balancer in self._system.balancers.values()
+        ]
+
+    def _plan_services(self) -> None:
+        plan: list[dict[str, object]] = []
+        for deployment in DEPLOYMENTS:
+            servers = []
+            for number, port in enumerate(free_ports(deployment.n_servers + 1), 1):
+                name = f"{deployment.name}-{number}"
+                service = f"{deployment.organisation}/{deployment.name}"
+                plan.append({"service": service, "name": name, "port": port})
+                servers.append(
+                    {"name": name, "address": HOST, "port": port, "health_port": port}
+                )
+            spec = {
+                "address": deployment.address,
+                "port": 443,
+                "policy": deployment.policy,
+                "idle_limit_seconds": 5.0,
+                "backend_servers": servers[: deployment.n_servers],
+            }
+            model = ServiceModel.model_validate(
+                {
+                    "organisation": deployment.organisation,
+                    "name": deployment.name,
+                    "spec": spec,
+                }
+            )
+            self._services[model.service] = model
+            self._spare = servers[-1]
+        self._system.start_backend_servers(plan)
+
+    def _start_load(self) -> list[gevent.Greenlet]:
+        tasks = [gevent.spawn(self._callers.run_answers), gevent.spawn(self._sample)]
+        for deployment in DEPLOYMENTS:
+            service = f"{deployment.organisation}/{deployment.name}"
+            workload = Workload(
+                service=service,
+                destination=Endpoint(deployment.address, 443),
+                flows_per_second=deployment.flows_per_second,
+                n_packets=deployment.n_packets,
+                interval=deployment.interval,
+            )
+            tasks.append(gevent.spawn(self._callers.run_workload, workload))
+        return tasks
+
+    def _stop_balancer(self) -> None:
+        started = time.monotonic()
+        self._system.signal_balancer("b4", signal.SIGTERM)
+        gevent.sleep(self._system.drain_seconds / 2)
+        self._remove_from_fabric("b4")
+        status = self._system.wait_exit("b4")
+        seconds = time.monotonic() - started
+        self._note(f"stop b4 by SIGTERM (exit status {status})", seconds, "exit")
+        self._phase("after the stop")
+
+    def _kill_balancer(self) -> None:
+        started = time.monotonic()
+        self._system.signal_balancer("b3", signal.SIGKILL)
+        client = self._system.balancers["b1"].client()
+        while "b3" not in client.status()["unreachable"]:
+            gevent.sleep(0.1)
+        self._note("kill b3", time.monotonic() - started, "known dead")
+        self._remove_from_fabric("b3")
+        self._phase("after the kill")
+
+    def _drain_server(self) -> None:
+        client = self._system.balancers["b1"].client()
+        started = time.monotonic()
+        answer = client.set_server_state("tanglaw", "lookup", "lookup-1", "draining")
+        self._wait_in_force(int(answer["revision"]), "drain lookup-1")
+        self._phase("while lookup-1 drains")
+        last = self._last_opened("lookup-1")
+        self._note("drain lookup-1", max(0.0, last - started), "last new flow")
+
+    def _join_server(self) -> None:
+        client = self._system.balancers["b2"].client()
+        current = client.get_service("ferreyra", "aula-video")
+        service = current["service"]
+        service["spec"]["backend_servers"].append(self._spare)
+        started = time.monotonic()
+        answer = client.put_service(service, current["revision"])
+        self._wait_in_force(int(answer["revision"]), "join aula-video-5")
+        name = self._spare["name"]
+        while self._n_opened(name) == 0 and time.monotonic() - started < 30:
+            gevent.sleep(0.1)
+        self._note(f"join {name}", time.monotonic() - started, "first new flow")
+        self._phase("after the join")
+
+    def _phase(self, name: str) -> None:
+        stats = self._callers.stats
+        self._progress(
+            f"{name}: {stats['flows']} flows, {self._callers.n_open} open, "
+            f"{stats['broken']} broken"
+        )
+        gevent.sleep(self._phase_seconds)
+
+    def _finish_flows(self) -> None:
+        self._progress(f"waiting for {self._callers.n_open} flows to end")
+        deadline = time.monotonic() + FLOW_END_LIMIT_SECONDS
+        while self._callers.n_open and time.monotonic() < deadline:
+            gevent.sleep(0.1)
+
+    def _wait_in_force(self, revision: int, change: str) -> None:
+        started = time.monotonic()
+        client = self._system.balancers["b1"].client()
+        report = client.status(revision, IN_FORCE_LIMIT_SECONDS)
+        seconds = time.monotonic() - started
+        measured = "in force" if report["in_force"] else "NOT in force"
+        self._note(change, seconds, measured)
+
+    def _note(self, change: str, seconds: float, measured: str) -> None:
+        self.result.changes.append(ChangeResult(change, round(seconds, 3), measured))
+        self._progress(f"{change}: {measured} after {seconds:.3f} s")
+
+    def _remove_from_fabric(self, name: str) -> None:
+        address = self._system.balancers[name].fabric_address
+        self._callers.balancers.remove(address)
+
+    def _sample(self) -> None:
+        while True:
+            counts: dict[str, list[int]] = {}
+            for item in self._system.server_stats():
+                if item["n_opened"]:
+                    counts.setdefault(item["service"], []).append(item["n_open"])
+            for service, values in counts.items():
+                mean = sum(values) / len(values)
+                if mean >= 1:
+                    ratio = max(values) / mean
+                    self._samples.setdefault(service, []).append(ratio)
+            gevent.sleep(SAMPLE_SECONDS)
+
+    def _last_opened(self, name: str) -> float:
+        stats = self._system.server_stats()
+        return next(item["last_opened_at"] for item in stats if item["name"] == name)
+
+    def _n_opened(self, name: str) -> int:
+        stats = self._system.server_stats()
+        return next(item["n_opened"] for item in stats if item["name"] == name)
+
+    def _collect(self) -> None:
+        stats = self._callers.stats
+        result = self.result
+        result.flows = stats["flows"]
+        result.done = stats["done"]
+        result.refused = stats["refused"]
+        result.broken = stats["broken"] + self._callers.n_open
+        result.misdelivered = stats["misdelivered"]
+        result.imbalance = {
+            service: round(sum(values) / len(values), 3)
+            for service, values in sorted(self._samples.items())
+        }
+        for line in self._callers.broken[:10]:
+            self._progress(f"broken: {line}")
+
+
+def main() -> int:
+    """Run the demo; the exit status tells whether all went well."""
+    parser = argparse.ArgumentParser(prog="stoattray-demo", description=__doc__)
+    parser.add_argument("--json", action="store_true", help="figures as JSON")
+    parser.add_argument("--short", action="store_true", help="shorter phases")
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+
+    def progress(line: str) -> None:
+        print(line, file=sys.stderr, flush=True)
+
+    with local_system() as system:
+        demo = Demo(
+            system,
+            seed=arguments.seed,
+            phase_seconds=2.0 if arguments.short else 8.0,
+            progress=progress,
+        )
+        result = demo.run()
+        if result.broken or result.misdelivered:
+            for name in system.balancers:
+                progress(system.log_text(name)[-2_000:])
+    if arguments.json:
+        print(json.dumps(asdict(result), indent=2))
+    else:
+        _print_tables(result)
+    return 1 if result.misdelivered or result.broken else 0
+
+
+def _print_tables(result: DemoResult) -> None:
+    print(
+        format_table(
+            ("FLOWS", "DONE", "REFUSED", "BROKEN", "MISDELIVERED"),
+            [
+                (
+                    result.flows,
+                    result.done,
+                    result.refused,
+                    result.broken,
+                    result.misdelivered,
+                )
+            ],
+        )
+    )
+    print()
+    rows = result.imbalance.items()
+    print(format_table(("SERVICE", "IMBALANCE (MAX/MEAN)"), rows))
+    print()
+    changes = [(item.change, item.seconds, item.measured) for item in result.changes]
+    print(format_table(("CHANGE", "SECONDS", "MEASURED"), changes))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/stoattray-standin/src/stoattray_standin/local.py
@@ -0,0 +1,240 @@
+"""A whole system as processes on loopback, for the demo, tests and benchmarks."""
+
+import base64
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import requests
+
+from stoattray_core import Address
+from stoattray_operator.client import Access, Client
+from stoattray_standin._ports import HOST, free_ports
+
+START_LIMIT_SECONDS = 20.0
+STOP_LIMIT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class BalancerProcess:
+    """One balancer process and its ports."""
+
+    name: str
+    fabric_port: int
+    relay_port: int
+    peer_port: int
+    api_port: int
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def fabric_address(self) -> Address:
+        """Return where the fabric sends packets."""
+        return HOST, self.fabric_port
+
+    @property
+    def api_url(self) -> str:
+        """Return the base URL of the API."""
+        return f"http://{HOST}:{self.api_port}"
+
+    def client(self) -> Client:
+        """Return a client of this balancer's API."""
+        return Client(Access(self.api_url))
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer decides about packets."""
+        try:
+            return requests.get(self.api_url + "/v1/ready", timeout=2).ok
+        except requests.RequestException:
+            return False
+
+    def counters(self) -> dict[str, int]:
+        """Return the balancer's counts of events."""
+        return requests.get(self.api_url + "/v1/counters", timeout=5).json()
+
+
+@dataclass(slots=True)
+class LocalSystem:
+    """Processes of one system; all are ended with its context."""
+
+    folder: Path
+    return_port: int
+    platform_port: int
+    stats_port: int
+    telemetry: dict[str, Any] = field(default_factory=dict)
+    drain_seconds: float = 2.0
+    balancers: dict[str, BalancerProcess] = field(default_factory=dict)
+    _others: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    @property
+    def platform_url(self) -> str:
+        """Return the base URL of the platform stand-in."""
+        return f"http://{HOST}:{self.platform_port}"
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and wait until it answers."""
+        command = ["platform", "--port", str(self.platform_port)]
+        self._others.append(self._spawn_standin(command))
+        self._wait(lambda: _answers(self.platform_url + "/standin/faults"))
+
+    def start_backend_servers(self, servers: list[dict[str, Any]]) -> None:
+        """Start all backend servers in one process.
+
+        Parameters
+        ----------
+        servers : list of dict
+            Each with `service`, `name` and `port`.
+        """
+        plan = self.folder / "backend-servers.json"
+        content = {"return_port": self.return_port, "backend_servers": servers}
+        plan.write_text(json.dumps(content))
+        command = ["backend-servers", "--port", str(self.stats_port)]
+        self._others.append(self._spawn_standin([*command, "--plan", str(plan)]))
+        self._wait(lambda: _answers(self._stats_url()))
+
+    def server_stats(self) -> list[dict[str, Any]]:
+        """Return counts per backend server."""
+        return requests.get(self._stats_url(), timeout=5).json()
+
+    def set_faults(self, **faults: object) -> None:
+        """Change the platform's faults."""
+        url = self.platform_url + "/standin/faults"
+        requests.put(url, json=faults, timeout=5).raise_for_status()
+
+    def platform_calls(self) -> int:
+        """Return the number of calls that the platform has got."""
+        url = self.platform_url + "/standin/faults"
+        return int(requests.get(url, timeout=5).json()["n_calls"])
+
+    def plan_balancer(self, name: str) -> BalancerProcess:
+        """Choose ports for a balancer that is started later."""
+        fabric, relay, peer, api = free_ports(4)
+        balancer = BalancerProcess(name, fabric, relay, peer, api)
+        self.balancers[name] = balancer
+        return balancer
+
+    def start_balancer(self, name: str, data_centre: str = "dc1") -> BalancerProcess:
+        """Start a planned balancer without waiting for it."""
+        balancer = self.balancers.get(name) or self.plan_balancer(name)
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self._settings(balancer, data_centre)))
+        log = (self.folder / f"{name}.log").open("ab")
+        command = [sys.executable, "-m", "stoattray_balancer.main", "run", str(path)]
+        balancer.process = subprocess.Popen(command, stdout=log, stderr=log)
+        log.close()
+        return balancer
+
+    def wait_ready(self, names: list[str]) -> None:
+        """Wait until balancers decide about packets."""
+        for name in names:
+            self._wait(self.balancers[name].is_ready)
+
+    def signal_balancer(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a balancer."""
+        process = self.balancers[name].process
+        if process is not None:
+            process.send_signal(number)
+
+    def wait_exit(self, name: str) -> int:
+        """Wait for a balancer to end; return its exit status."""
+        process = self.balancers[name].process
+        if process is None:
+            return 0
+        return process.wait(STOP_LIMIT_SECONDS)
+
+    def log_text(self, name: str) -> str:
+        """Return what a balancer has logged."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def stop(self) -> None:
+        """End every process that this system started."""
+        started = [
+            balancer.process
+            for balancer in self.balancers.values()
+            if balancer.process is not None
+        ]
+        for process in [*started, *self._others]:
+            if process.poll() is None:
+                process.kill()
+        for process in [*started, *self._others]:
+            process.wait(STOP_LIMIT_SECONDS)
+
+    def _settings(self, balancer: BalancerProcess, data_centre: str) -> dict[str, Any]:
+        seeds = [
+            f"{HOST}:{other.peer_port}"
+            for other in self.balancers.values()
+            if other is not balancer
+        ]
+        return {
+            "member": balancer.name,
+            "data_centre": data_centre,
+            "host": HOST,
+            "fabric_port": balancer.fabric_port,
+            "relay_port": balancer.relay_port,
+            "peer_port": balancer.peer_port,
+            "fabric_return": f"{HOST}:{self.return_port}",
+            "seeds": seeds[:8],
+            "keys_file": str(self.folder / "keys.json"),
+            "api": {"port": balancer.api_port, "plain_http": True},
+            "platform": {"url": self.platform_url},
+            "telemetry": self.telemetry,
+            "drain_seconds": self.drain_seconds,
+        }
+
+    def _stats_url(self) -> str:
+        return f"http://{HOST}:{self.stats_port}/standin/backend-servers"
+
+    def _spawn_standin(self, command: list[str]) -> subprocess.Popen[bytes]:
+        with (self.folder / "standin.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", "stoattray_standin", *command],
+                stdout=log,
+                stderr=log,
+            )
+
+    def _wait(self, condition: Any) -> None:
+        deadline = time.monotonic() + START_LIMIT_SECONDS
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"a process did not start, see {self.folder}")
+            time.sleep(POLL_SECONDS)
+
+
+@contextmanager
+def local_system(
+    telemetry: dict[str, Any] | None = None, drain_seconds: float = 2.0
+) -> Iterator[LocalSystem]:
+    """Own a system with keys and ports, without any process yet."""
+    with TemporaryDirectory(prefix="stoattray-") as name:
+        folder = Path(name)
+        secret = base64.b64encode(os.urandom(32)).decode()
+        (folder / "keys.json").write_text(json.dumps([{"id": 1, "secret": secret}]))
+        return_port, platform_port, stats_port = free_ports(3)
+        system = LocalSystem(
+            folder=folder,
+            return_port=return_port,
+            platform_port=platform_port,
+            stats_port=stats_port,
+            telemetry=telemetry or {},
+            drain_seconds=drain_seconds,
+        )
+        try:
+            yield system
+        finally:
+            system.stop()
+
+
+def _answers(url: str) -> bool:
+    try:
+        return requests.get(url, timeout=2).ok
+    except requests.RequestException:
+        return False
--- a/packages/stoattray-standin/src/stoattray_standin/memory.py
+++ b/packages/stoattray-standin/src/stoattray_standin/memory.py
@@ -24,7 +24,7 @@
 )
 from stoattray_core.configuration import ConfigEntry
 from stoattray_core.outputs import Event, Forward, Output, Reject, Relay, Send
-from stoattray_core.resources import ServiceModel, StoredServiceModel
+from stoattray_core.resources import ServiceModel
 from stoattray_standin.packets import ACK, FIN, PUSH, SYN, Endpoint, tcp_packet
 
 TICK = 10
@@ -168,8 +168,7 @@
     def declare(self, service: ServiceModel) -> int:
         """Write a service into the store; readers get it after their lag."""
         self.revision += 1
-        stored = StoredServiceModel(change_id=str(self.revision), service=service)
-        self._put(f"services/{service.service}", stored.model_dump_json())
+        self._put(f"services/{service.service}", service.model_dump_json())
         self._put(f"addresses/{service.spec.key:x}", service.service)
         for item in service.spec.backend_servers:
             server = server_id(item.name, item.address, item.port)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of all packages; folders mirror ``packages``."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,93 @@
+"""Builders of test data."""
+
+import base64
+from typing import Any
+
+from stoattray_core.resources import ServiceModel
+from stoattray_standin.deployments import service_model
+from stoattray_standin.memory import MemoryNetwork
+from stoattray_standin.packets import SYN, Endpoint, tcp_packet
+
+CALLER = Endpoint("203.0.113.9", 40_000)
+LOOKUP = Endpoint("192.0.2.10", 443)
+BALANCERS = ("b1", "b2", "b3", "b4", "b5")
+
+
+def lookup(**changes: Any) -> ServiceModel:
+    """Return Tanglaw's lookup service with a short idle limit."""
+    values = {
+        "address": LOOKUP.address,
+        "n_servers": 7,
+        "idle_limit_seconds": 4.0,
+        **changes,
+    }
+    return service_model("tanglaw", "lookup", **values)
+
+
+def aula_core(**changes: Any) -> ServiceModel:
+    """Return Ferreyra's aula-core service, which weighs balance more."""
+    values = {
+        "address": "192.0.2.20",
+        "n_servers": 7,
+        "idle_limit_seconds": 4.0,
+        "policy": "balance",
+        "first_host": 101,
+        **changes,
+    }
+    return service_model("ferreyra", "aula-core", **values)
+
+
+def network(
+    seed: int, *services: ServiceModel, balancers: tuple[str, ...] = BALANCERS
+) -> MemoryNetwork:
+    """Return a network whose balancers are live and whose services are in force."""
+    net = MemoryNetwork(seed)
+    for name in balancers:
+        net.start(name)
+    for service in services:
+        net.declare(service)
+    net.run(4_000)
+    return net
+
+
+def load(
+    net: MemoryNetwork, service: ServiceModel, duration: int, every: int = 20
+) -> None:
+    """Open a flow each `every` milliseconds; one in four is long."""
+    end = net.now + duration
+    while net.now < end:
+        n_packets = net.random.choice((3, 3, 8, 60))
+        net.open_flow(service, n_packets=n_packets, interval=60)
+        net.run(every)
+
+
+def opening_packet(source: Endpoint = CALLER, destination: Endpoint = LOOKUP) -> bytes:
+    """Return a TCP packet that opens a flow."""
+    return tcp_packet(source, destination, flags=SYN)
+
+
+def key_file_text(*ids: int) -> str:
+    """Return a keys file with one key per id."""
+    parts = [f'{{"id": {number}, "secret": "{secret(number)}"}}' for number in ids]
+    return "[" + ", ".join(parts) + "]"
+
+
+def secret(number: int) -> str:
+    """Return a 32-byte secret that depends on a number."""
+    return base64.b64encode(bytes([number]) * 32).decode()
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    """Return good settings of a balancer."""
+    return {
+        "member": "b1",
+        "data_centre": "ph-luzon-1",
+        "host": "127.0.0.1",
+        "fabric_port": 7001,
+        "relay_port": 7002,
+        "peer_port": 7003,
+        "fabric_return": "127.0.0.1:7004",
+        "keys_file": "keys.json",
+        "api": {"port": 7005, "plain_http": True},
+        **changes,
+    }
--- /dev/null
+++ b/tests/core/test_hashing.py
@@ -0,0 +1,59 @@
+"""Tests of placement tables and ownership ranks."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stoattray_core._hashing import placement_table, rank_members
+from stoattray_core._identifiers import N_SHARDS, server_id
+
+
+def servers(count):
+    """Return server ids."""
+    return [server_id(f"s{number}", "10.0.0.1", number + 1) for number in range(count)]
+
+
+class PlacementTableTest(unittest.TestCase):
+    """Shares are even and a change moves little."""
+
+    @settings(derandomize=True, max_examples=30, deadline=None)
+    @given(st.integers(1, 40))
+    def test_shares_differ_by_one(self, count):
+        shares = Counter(placement_table(servers(count)))
+        self.assertEqual(sum(shares.values()), N_SHARDS)
+        self.assertLessEqual(max(shares.values()) - min(shares.values()), 1)
+
+    def test_removal_moves_little_beyond_its_share(self):
+        before = placement_table(servers(7))
+        after = placement_table(servers(7)[1:])
+        moved = sum(a != b for a, b in zip(before, after, strict=True))
+        self.assertLess(moved, 2.5 * N_SHARDS / 7)
+
+    def test_weights(self):
+        two = servers(2)
+        shares = Counter(placement_table(two, [3, 1]))
+        self.assertAlmostEqual(shares[two[0]] / shares[two[1]], 3, delta=0.1)
+
+    def test_order_of_servers_does_not_matter(self):
+        self.assertEqual(placement_table(servers(5)), placement_table(servers(5)[::-1]))
+
+    def test_no_servers(self):
+        self.assertEqual(placement_table([]), [])
+
+
+class RankMembersTest(unittest.TestCase):
+    """Ownership is spread, and the successor becomes the next owner."""
+
+    def test_successor_is_next_owner(self):
+        members = ["b1", "b2", "b3", "b4", "b5"]
+        for shard in range(N_SHARDS):
+            ranked = rank_members(shard, members)
+            left = [member for member in members if member != ranked[0]]
+            self.assertEqual(rank_members(shard, left)[0], ranked[1])
+
+    def test_spread(self):
+        members = ["b1", "b2", "b3", "b4", "b5"]
+        shares = Counter(rank_members(shard, members)[0] for shard in range(N_SHARDS))
+        self.assertGreater(min(shares.values()), N_SHARDS / 5 * 0.6)
--- /dev/null
+++ b/tests/core/test_moves.py
@@ -0,0 +1,181 @@
+"""Planned changes break no flow; each test sprays packets over five balancers."""
+
+import unittest
+
+from stoattray_core import InvariantViolated
+from stoattray_standin.memory import Link
+from stoattray_standin.packets import ACK, tcp_packet
+from tests.builders import aula_core, load, lookup, network
+
+DRAINED = ("10.0.0.1", 9000)
+
+
+class PlannedChangeTest(unittest.TestCase):
+    """Each change alone, and pairs at bad moments."""
+
+    def finish(self, net, allowed=()):
+        net.run(25_000)
+        self.assertEqual(net.broken, [])
+        unfinished = [
+            flow for flow in net.flows.values() if flow.state not in ("done", *allowed)
+        ]
+        self.assertEqual(unfinished, [])
+        self.assertEqual(net.stats["content_at_two_servers"], 0)
+
+    def test_steady(self):
+        net = network(1, lookup())
+        load(net, lookup(), 2_000)
+        self.finish(net)
+        self.assertEqual(net.stats["relayed"], 0)
+
+    def test_drain_stops_new_flows_within_five_seconds(self):
+        net = network(2, lookup())
+        load(net, lookup(), 1_000)
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        declared_at = net.now
+        load(net, lookup(), 12_000)
+        opened = net.servers[DRAINED].opened_at
+        self.assertLessEqual(max(opened) - declared_at, 5_000)
+        self.finish(net)
+
+    def test_drain_and_return(self):
+        net = network(3, lookup())
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        load(net, lookup(), 3_000)
+        net.declare(lookup())
+        load(net, lookup(), 9_000)
+        self.assertGreater(max(net.servers[DRAINED].opened_at), net.now - 2_000)
+        self.finish(net)
+
+    def test_two_moves_of_the_same_buckets(self):
+        net = network(4, lookup())
+        for name in ("lookup-1", "lookup-2", "lookup-3"):
+            net.declare(lookup(draining=frozenset({name})))
+            load(net, lookup(), 2_500)
+        self.finish(net)
+
+    def test_balancer_joins_during_drain(self):
+        net = network(5, lookup())
+        load(net, lookup(), 500)
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        net.start("b6")
+        load(net, lookup(), 8_000)
+        self.assertTrue(net.cores["b6"].is_ready)
+        self.finish(net)
+
+    def test_balancer_leaves_during_drain(self):
+        net = network(6, lookup())
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        load(net, lookup(), 2_500)
+        net.cores["b2"].leave()
+        load(net, lookup(), 3_000)
+        self.assertTrue(net.cores["b2"].has_left)
+        net.kill("b2")
+        load(net, lookup(), 4_000)
+        self.finish(net)
+
+    def test_balancer_dies_during_drain(self):
+        for death_at in (500, 2_050, 2_300, 4_000, 6_200):
+            with self.subTest(death_at):
+                net = network(7, lookup())
+                load(net, lookup(), 500)
+                net.declare(lookup(draining=frozenset({"lookup-1"})))
+                load(net, lookup(), death_at)
+                net.kill("b3")
+                load(net, lookup(), 6_000)
+                self.finish(net)
+
+    def test_paused_balancer_wakes_with_old_buckets(self):
+        net = network(8, lookup())
+        load(net, lookup(), 500)
+        net.pause("b4")
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        load(net, lookup(), 7_000)
+        net.resume("b4")
+        load(net, lookup(), 5_000)
+        self.finish(net)
+
+    def test_one_balancer_hears_of_changes_late(self):
+        net = network(9, lookup())
+        net.config_lag["b1"] = 10_000
+        net.cut("b1", "b2")
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        load(net, lookup(), 12_000)
+        self.finish(net)
+
+    def test_messages_lost_repeated_and_delayed(self):
+        net = network(10, lookup())
+        net.link = Link(loss=0.1, repeat=0.2, max_extra_delay=60)
+        load(net, lookup(), 500)
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        load(net, lookup(), 8_000)
+        net.declare(lookup())
+        load(net, lookup(), 8_000)
+        net.heal()
+        self.finish(net)
+
+    def test_whole_rollout_under_long_flows(self):
+        net = network(11, lookup())
+        long_flows = [
+            net.open_flow(lookup(), n_packets=700, interval=100) for _ in range(60)
+        ]
+        for number in range(1, 8):
+            net.declare(lookup(draining=frozenset({f"lookup-{number}"})))
+            load(net, lookup(), 5_000, every=50)
+        for number in range(1, 6):
+            net.start(f"n{number}")
+            load(net, lookup(), 2_000, every=50)
+            net.cores[f"b{number}"].leave()
+            load(net, lookup(), 3_000, every=50)
+            net.kill(f"b{number}")
+        net.run(30_000)
+        self.assertEqual({flow.state for flow in long_flows}, {"done"})
+        self.finish(net)
+
+    def test_balance_policy_through_a_drain(self):
+        net = network(12, aula_core())
+        load(net, aula_core(), 2_000)
+        net.declare(aula_core(draining=frozenset({"aula-core-1"})))
+        load(net, aula_core(), 10_000)
+        self.finish(net)
+
+
+class DeadServerTest(unittest.TestCase):
+    """Flows of a dead backend server end, and none moves silently."""
+
+    def test_flows_are_reset_and_new_ones_go_elsewhere(self):
+        net = network(20, lookup())
+        load(net, lookup(), 3_000)
+        net.kill_server(DRAINED)
+        dead = net.servers[DRAINED].server
+        for core in net.cores.values():
+            for _ in range(3):
+                core.on_probe_result(dead, False)
+        load(net, lookup(), 4_000)
+        self.assertEqual(net.stats["content_at_two_servers"], 0)
+
+    def test_content_at_two_servers_is_noticed(self):
+        net = network(21, lookup())
+        flow = net.open_flow(lookup(), n_packets=3)
+        net.run(100)
+        other = next(
+            address
+            for address, server in net.servers.items()
+            if server.server != flow.server
+        )
+        data = tcp_packet(
+            flow.source, flow.destination, flags=ACK, payload=b"x", sequence=1
+        )
+        net._at_server(other, data)
+        self.assertEqual(net.stats["content_at_two_servers"], 1)
+
+    def test_packet_of_another_service_is_noticed(self):
+        net = network(22, lookup(), aula_core())
+        flow = net.open_flow(lookup(), n_packets=3)
+        data = tcp_packet(flow.source, flow.destination, flags=ACK)
+        with self.assertRaises(InvariantViolated):
+            net._at_server(("10.0.0.101", 9000), data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of stoattray-operator."""
