claims are refused shard by shard; long random runs

Change: the receiver takes in each shard by itself and returns later claims beside its acknowledgement. benchmarks/soak.py runs faults alone and in pairs.

--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,60 @@
+"""Long seeded runs with faults of all kinds and invariants on.
+
+``python benchmarks/soak.py --seed 1 --steps 200000 [--seeds 20]``
+"""
+
+import argparse
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+from stoattray_standin.episodes import SoakResult, SoakRun
+
+MAX_WORKERS = 5
+
+
+def run_seed(seed: int, steps: int) -> SoakResult:
+    """Run one seed."""
+    return SoakRun(seed).run(steps)
+
+
+def main() -> int:
+    """Run and print a line for each seed; 1 if an invariant did not hold."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--steps", type=int, default=20_000)
+    arguments = parser.parse_args()
+    seeds = range(arguments.seed, arguments.seed + arguments.seeds)
+    is_clean = True
+    with ProcessPoolExecutor(min(MAX_WORKERS, len(seeds))) as pool:
+        futures = {seed: pool.submit(run_seed, seed, arguments.steps) for seed in seeds}
+        for seed, future in futures.items():
+            try:
+                result = future.result()
+            except AssertionError as error:
+                is_clean = False
+                print(f"soak_seed_{seed} invariant_violated: {error}", flush=True)
+                continue
+            is_clean &= _print_result(result)
+    return 0 if is_clean else 1
+
+
+def _print_result(result: SoakResult) -> bool:
+    prefix = f"soak_seed_{result.seed}"
+    print(f"{prefix}_steps {result.steps} steps")
+    print(f"{prefix}_episodes {result.episodes} episodes")
+    print(f"{prefix}_flows {result.flows} flows")
+    print(f"{prefix}_packets {result.packets} packets")
+    print(f"{prefix}_refused {result.refused} flows")
+    print(f"{prefix}_broken {len(result.broken)} flows")
+    print(f"{prefix}_broken_allowed {result.broken_allowed} flows")
+    print(f"{prefix}_content_at_two_servers {result.content_at_two_servers} packets")
+    print(f"{prefix}_reverts {result.reverts} balancers")
+    print(f"# {prefix} faults: {dict(sorted(result.faults.items()))}", flush=True)
+    for line in result.broken[:5]:
+        print(f"# {line}")
+    return not (result.broken or result.content_at_two_servers or result.reverts)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/stoattray-balancer/src/stoattray_balancer/peer.thrift
+++ b/packages/stoattray-balancer/src/stoattray_balancer/peer.thrift
@@ -133,6 +133,7 @@
   5: list<BucketState> buckets
   6: list<FlowGroup> pins
   7: list<FlowGroup> records
+  8: list<ShardState> later
 }
 
 struct Done {
--- a/packages/stoattray-core/src/stoattray_core/_buckets.py
+++ b/packages/stoattray-core/src/stoattray_core/_buckets.py
@@ -122,19 +122,18 @@
     row.fast_addresses[shard] = server_address(bucket.base)
 
 
-def apply_shards(state: State, shards: list[ShardState]) -> bool:
-    """Take in claims of ownership; return whether none was behind what is held."""
-    is_current = True
+def apply_shards(state: State, shards: list[ShardState]) -> list[ShardState]:
+    """Take in claims of ownership; return the later claims of those refused."""
+    refused: list[ShardState] = []
     for item in shards:
         if not 0 <= item.shard < N_SHARDS:
-            is_current = False
             continue
         row = state.tables.shards[item.shard]
         if (item.epoch, item.owner) < row.order:
-            is_current = False
-            continue
-        _adopt_claim(state, item)
-    return is_current
+            refused.append(describe_shard(state, item.shard))
+        else:
+            _adopt_claim(state, item)
+    return refused
 
 
 def _adopt_claim(state: State, claim: ShardState) -> None:
--- a/packages/stoattray-core/src/stoattray_core/_moves.py
+++ b/packages/stoattray-core/src/stoattray_core/_moves.py
@@ -528,8 +528,7 @@
 
     def on_done(self, done: Done, sender: MemberId) -> None:
         """Take in an acknowledgement, or step down when it is a refusal."""
-        if not done.accepted:
-            apply_shards(self.state, done.shards)
+        apply_shards(self.state, done.shards)
         pending = self.state.requests.finish(done.request, sender)
         if pending is None:
             return
--- a/packages/stoattray-core/src/stoattray_core/_ownership.py
+++ b/packages/stoattray-core/src/stoattray_core/_ownership.py
@@ -177,15 +177,8 @@
 
     def on_gather(self, gather: Gather, sender: MemberId, address: Address) -> None:
         """Accept a new owner's claims and tell it what is known here."""
-        if not apply_shards(self.state, gather.shards):
-            shards = [
-                describe_shard(self.state, item.shard)
-                for item in gather.shards
-                if 0 <= item.shard < N_SHARDS
-            ]
-            self.state.send(address, Done(gather.request, False, shards))
-            return
-        claimed = [item.shard for item in gather.shards]
+        later = apply_shards(self.state, gather.shards)
+        claimed = [item.shard for item in gather.shards if 0 <= item.shard < N_SHARDS]
         keys = known_buckets(self.state, claimed)
         bucket_parts = list(split_buckets(keys, self.state.tables.services))
         records = self._known_records(set(claimed))
@@ -203,6 +196,7 @@
                 buckets=part.buckets,
                 pins=part.pins,
                 records=chunk if start >= 0 else [],
+                later=later if number == 0 else [],
             )
             self.state.send(address, reply)
 
@@ -210,6 +204,7 @@
         """Take in one part of what a balancer knows."""
         if reply.config_revision > self.state.tables.config_revision:
             return
+        apply_shards(self.state, reply.later)
         apply_buckets(self.state, reply.buckets, reply.pins)
         self._store_copies(reply.records)
         parts = self._parts.setdefault((sender, reply.request), _Parts())
--- a/packages/stoattray-core/src/stoattray_core/_updates.py
+++ b/packages/stoattray-core/src/stoattray_core/_updates.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from stoattray_core._buckets import apply_buckets, apply_shards, describe_shard
-from stoattray_core._identifiers import N_SHARDS, Address, ServiceId
+from stoattray_core._buckets import apply_buckets, apply_shards
+from stoattray_core._identifiers import Address, ServiceId
 from stoattray_core._packet import UDP
 from stoattray_core._state import State
 from stoattray_core.messages import BucketUpdate, Done, FlowGroup
@@ -16,18 +16,13 @@
     state: State
 
     def on_update(self, update: BucketUpdate, address: Address) -> None:
-        """Take in buckets, or refuse them when a later owner is known."""
-        if not apply_shards(self.state, update.shards):
-            shards = [
-                describe_shard(self.state, item.shard)
-                for item in update.shards
-                if 0 <= item.shard < N_SHARDS
-            ]
-            self.state.send(address, Done(update.request, False, shards))
-            return
+        """Take in the buckets of each shard that has no later owner."""
+        later = apply_shards(self.state, update.shards)
+        refused = {item.shard for item in later}
+        buckets = [item for item in update.buckets if item.shard not in refused]
         used = self._used_flows(update)
-        apply_buckets(self.state, update.buckets, update.pins)
-        self.state.send(address, Done(update.request, True, [], used))
+        apply_buckets(self.state, buckets, update.pins)
+        self.state.send(address, Done(update.request, True, later, used))
 
     def _used_flows(self, update: BucketUpdate) -> list[FlowGroup]:
         """Return recent UDP flows of the buckets that become tracked."""
--- a/packages/stoattray-core/src/stoattray_core/core.py
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -124,8 +124,14 @@
         self._health = HealthChecks(self._state)
         self._loads = LoadExchange(self._state)
         self._leaving_since: Millis | None = None
+        self._identity = identity
         self.fast_address = self._routing.fast_address
 
+    @property
+    def identity(self) -> Identity:
+        """Return who this balancer is."""
+        return self._identity
+
     @property
     def tables(self) -> Tables:
         """Return the tables, to be read only."""
--- a/packages/stoattray-core/src/stoattray_core/messages.py
+++ b/packages/stoattray-core/src/stoattray_core/messages.py
@@ -204,14 +204,15 @@
     buckets: list[BucketState] = field(default_factory=list)
     pins: list[FlowGroup] = field(default_factory=list)
     records: list[FlowGroup] = field(default_factory=list)
+    later: list[ShardState] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Done:
     """Acknowledges a request; ``accepted`` is false when the sender is fenced.
 
-    ``used`` lists recent flows of buckets that have become tracked, for
-    services without opening packets.
+    ``shards`` lists later claims than the request's. ``used`` lists recent flows
+    of buckets that have become tracked, for services without opening packets.
     """
 
     request: int
--- a/packages/stoattray-standin/src/stoattray_standin/deployments.py
+++ b/packages/stoattray-standin/src/stoattray_standin/deployments.py
@@ -31,6 +31,7 @@
                 "name": server,
                 "address": f"{host_prefix}{first_host + number - 1}",
                 "port": SERVER_PORT,
+                "health_port": SERVER_PORT,
                 "state": "draining" if server in draining else "active",
             }
         )
--- /dev/null
+++ b/packages/stoattray-standin/src/stoattray_standin/episodes.py
@@ -0,0 +1,342 @@
+"""Long random runs: faults alone and in pairs under load, with invariants on.
+
+A run is a row of episodes. Each starts faults at random times under load, ends
+them, and lets all flows end before the next, so that a broken flow can be laid
+to the faults of its episode.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from stoattray_core import InvariantViolated, Millis
+from stoattray_core.resources import ServiceModel
+from stoattray_standin.deployments import SERVER_PORT, service_model
+from stoattray_standin.memory import Link, MemoryNetwork
+
+STEP = 10
+PROBE_PERIOD = 1_000
+MIN_BALANCERS = 4
+MAX_BALANCERS = 6
+EPISODE_STEPS = 1_600
+SETTLE_LIMIT = 90_000
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A kind of change or fault.
+
+    Parameters
+    ----------
+    name : str
+        Shown in the summary.
+    start : callable
+        Brings it about.
+    may_break : bool
+        Whether flows may break without a defect: their backend server died, or
+        balancers disagree because they are cut off from each other.
+    """
+
+    name: str
+    start: Callable[["SoakRun"], None]
+    may_break: bool = False
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """Summary of one run."""
+
+    seed: int
+    steps: int = 0
+    episodes: int = 0
+    flows: int = 0
+    packets: int = 0
+    done: int = 0
+    refused: int = 0
+    broken_allowed: int = 0
+    broken: list[str] = field(default_factory=list)
+    content_at_two_servers: int = 0
+    faults: Counter[str] = field(default_factory=Counter)
+    reverts: int = 0
+
+
+class SoakRun:
+    """One seeded run over the in-memory network.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all chance.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.net = MemoryNetwork(seed)
+        self.random = self.net.random
+        self.result = SoakResult(seed)
+        self.draining: dict[str, frozenset[str]] = {}
+        self._n_balancers = 0
+        self._revisions: dict[str, tuple[int, int]] = {}
+        self._services = {"tanglaw": "lookup", "ferreyra": "aula-core"}
+        for _ in range(5):
+            self.start_balancer()
+        for organisation in self._services:
+            self.declare(organisation)
+        self.net.run(5_000)
+
+    def run(self, steps: int) -> SoakResult:
+        """Run at least `steps` steps and return the summary."""
+        while self.result.steps < steps:
+            self._run_episode()
+        self.result.flows = self.net.stats["flows"]
+        self.result.packets = self.net.stats["packets"]
+        self.result.done = self.net.stats["done"]
+        self.result.refused = self.net.stats["refused"]
+        return self.result
+
+    def model(self, organisation: str) -> ServiceModel:
+        """Return the service of an organisation as it is declared now."""
+        draining = self.draining.get(organisation, frozenset())
+        if organisation == "tanglaw":
+            return service_model(
+                "tanglaw",
+                "lookup",
+                address="192.0.2.10",
+                n_servers=7,
+                idle_limit_seconds=4.0,
+                draining=draining,
+            )
+        return service_model(
+            "ferreyra",
+            "aula-core",
+            address="192.0.2.20",
+            n_servers=7,
+            idle_limit_seconds=4.0,
+            policy="balance",
+            first_host=101,
+            draining=draining,
+        )
+
+    def declare(self, organisation: str) -> None:
+        """Write an organisation's service into the store."""
+        self.net.declare(self.model(organisation))
+
+    def start_balancer(self) -> None:
+        """Start one more balancer under a new name."""
+        self._n_balancers += 1
+        self.net.start(f"b{self._n_balancers}")
+
+    def pick_balancer(self) -> str:
+        """Return a running balancer that is not paused."""
+        running = [name for name in self.net.cores if name not in self.net.paused]
+        return self.random.choice(running)
+
+    def _run_episode(self) -> None:
+        kinds = self.random.sample(FAULTS, self.random.choice((1, 1, 2)))
+        may_break = any(kind.may_break for kind in kinds)
+        n_unsafe = sum(kind.name in UNSAFE_TOGETHER for kind in kinds)
+        n_broken = len(self.net.broken)
+        n_content = self.net.stats["content_at_two_servers"]
+        starts = sorted(self.random.randrange(EPISODE_STEPS // 2) for _ in kinds)
+        for step in range(EPISODE_STEPS):
+            while starts and starts[0] <= step:
+                starts.pop(0)
+                kind = kinds[len(kinds) - len(starts) - 1]
+                self.result.faults[kind.name] += 1
+                kind.start(self)
+            self._step()
+        self._recover()
+        self.result.episodes += 1
+        broken = self.net.broken[n_broken:]
+        if may_break or n_unsafe > 1:
+            self.result.broken_allowed += len(broken)
+            return
+        names = "+".join(kind.name for kind in kinds)
+        self.result.broken.extend(f"{names}: {line}" for line in broken)
+        n_content = self.net.stats["content_at_two_servers"] - n_content
+        self.result.content_at_two_servers += n_content
+
+    def _step(self) -> None:
+        for organisation in self._services:
+            if self.random.random() < 0.25:
+                n_packets = self.random.choice((2, 3, 5, 40))
+                interval = self.random.choice((20, 80))
+                self.net.open_flow(
+                    self.model(organisation), n_packets=n_packets, interval=interval
+                )
+        self._advance(STEP)
+        self.result.steps += 1
+
+    def _advance(self, duration: Millis) -> None:
+        before = self.net.now // PROBE_PERIOD
+        self.net.run(duration)
+        if self.net.now // PROBE_PERIOD != before:
+            self.net.probe_servers()
+            self._check_revisions()
+
+    def _check_revisions(self) -> None:
+        """Check that no balancer's configuration goes back."""
+        for name, core in self.net.cores.items():
+            incarnation = id(core)
+            seen = self._revisions.get(name)
+            is_same = seen is not None and seen[0] == incarnation
+            if is_same and core.config_revision < seen[1]:
+                self.result.reverts += 1
+            self._revisions[name] = (incarnation, core.config_revision)
+
+    def _recover(self) -> None:
+        """End all faults and wait until everything is at rest again."""
+        self.net.heal()
+        self.net.repeated_openings = 0.0
+        for name in list(self.net.paused):
+            self.net.resume(name)
+        for address, server in self.net.servers.items():
+            if not server.is_alive:
+                self.net.revive_server(address)
+        self.net.config_lag.clear()
+        while len(self.net.cores) < MIN_BALANCERS:
+            self.start_balancer()
+        for organisation in self._services:
+            if self.draining.pop(organisation, None):
+                self.declare(organisation)
+        deadline = self.net.now + SETTLE_LIMIT
+        self._advance(12_000)
+        while self._is_busy() and self.net.now < deadline:
+            self._advance(500)
+        self._check_rest()
+        self.net.forget_finished()
+
+    def _is_busy(self) -> bool:
+        is_open = any(
+            flow.state in ("opening", "open") for flow in self.net.flows.values()
+        )
+        return is_open or not all(core.is_ready for core in self.net.cores.values())
+
+    def _check_rest(self) -> None:
+        """Check that balancers agree once every fault is over.
+
+        Raises
+        ------
+        InvariantViolated
+            If a balancer is not ready, lags, or differs about a bucket.
+        """
+        cores = list(self.net.cores.values())
+        for core in cores:
+            if not core.is_ready:
+                raise InvariantViolated(f"{core.identity.member} is not ready at rest")
+            if core.config_revision != self.net.revision:
+                raise InvariantViolated(f"{core.identity.member} lags at rest")
+        owners = [[row.owner for row in core.tables.shards] for core in cores]
+        if any(other != owners[0] for other in owners):
+            raise InvariantViolated("balancers differ about owners at rest")
+        for service in cores[0].tables.services:
+            self._check_buckets(service)
+
+    def _check_buckets(self, service: str) -> None:
+        cores = list(self.net.cores.values())
+        tables = [core.tables.services[service].buckets for core in cores]
+        for shard, buckets in enumerate(zip(*tables, strict=True)):
+            states = {
+                (bucket.order, bucket.tracked, bucket.base)
+                for bucket in buckets
+                if bucket is not None
+            }
+            if len(states) > 1:
+                raise InvariantViolated(f"{service} {shard} differs at rest: {states}")
+
+
+def _kill_balancer(run: SoakRun) -> None:
+    if len(run.net.cores) - len(run.net.paused) > 2:
+        run.net.kill(run.pick_balancer())
+
+
+def _join_balancer(run: SoakRun) -> None:
+    if len(run.net.cores) < MAX_BALANCERS:
+        run.start_balancer()
+
+
+def _leave_balancer(run: SoakRun) -> None:
+    if len(run.net.cores) - len(run.net.paused) <= 3:
+        run.start_balancer()
+    name = run.pick_balancer()
+    run.net.cores[name].leave()
+
+    def stop() -> None:
+        core = run.net.cores.get(name)
+        if core is None or name in run.net.paused:
+            return
+        if core.has_left:
+            core.say_goodbye()
+            run.net.carry_out(name)
+            run.net.kill(name)
+        else:
+            run.net.after(500, stop)
+
+    run.net.after(3_000, stop)
+
+
+def _pause_balancer(run: SoakRun) -> None:
+    if len(run.net.cores) - len(run.net.paused) > 2:
+        name = run.pick_balancer()
+        run.net.pause(name)
+        duration = run.random.choice((300, 1_500, 6_000))
+        run.net.after(duration, lambda: run.net.resume(name))
+
+
+def _drain_servers(run: SoakRun) -> None:
+    organisation = run.random.choice(("tanglaw", "ferreyra"))
+    name = {"tanglaw": "lookup", "ferreyra": "aula-core"}[organisation]
+    count = run.random.choice((1, 1, 3))
+    chosen = run.random.sample(range(1, 8), count)
+    run.draining[organisation] = frozenset(f"{name}-{number}" for number in chosen)
+    run.declare(organisation)
+    if run.random.random() < 0.5:
+        run.net.after(run.random.choice((500, 3_000)), lambda: _undrain(run))
+
+
+def _undrain(run: SoakRun) -> None:
+    for organisation in list(run.draining):
+        del run.draining[organisation]
+        run.declare(organisation)
+
+
+def _bad_links(run: SoakRun) -> None:
+    run.net.link = Link(loss=0.1, repeat=0.2, max_extra_delay=50)
+
+
+def _late_configuration(run: SoakRun) -> None:
+    run.net.config_lag[run.pick_balancer()] = 10_000
+    _drain_servers(run)
+
+
+def _repeat_openings(run: SoakRun) -> None:
+    run.net.repeated_openings = 0.5
+    _drain_servers(run)
+
+
+def _cut_balancer(run: SoakRun) -> None:
+    name = run.pick_balancer()
+    for other in run.net.cores:
+        if other != name:
+            run.net.cut(name, other)
+
+
+def _kill_server(run: SoakRun) -> None:
+    host = run.random.choice((1, 101)) + run.random.randrange(7)
+    run.net.kill_server((f"10.0.0.{host}", SERVER_PORT))
+
+
+FAULTS = (
+    Fault("balancer joins", _join_balancer),
+    Fault("balancer leaves", _leave_balancer),
+    Fault("balancer dies", _kill_balancer),
+    Fault("balancer pauses", _pause_balancer),
+    Fault("servers drain", _drain_servers),
+    Fault("bad links", _bad_links),
+    Fault("late configuration", _late_configuration),
+    Fault("repeated openings", _repeat_openings),
+    Fault("balancer cut off", _cut_balancer, may_break=True),
+    Fault("server dies", _kill_server, may_break=True),
+)
+
+UNSAFE_TOGETHER = frozenset({"balancer dies", "balancer pauses"})
+"""Two at once can take both copies of a record."""
--- a/packages/stoattray-standin/src/stoattray_standin/memory.py
+++ b/packages/stoattray-standin/src/stoattray_standin/memory.py
@@ -20,6 +20,7 @@
     MemberId,
     Millis,
     ServerId,
+    server_address,
     server_id,
 )
 from stoattray_core.configuration import ConfigEntry
@@ -69,6 +70,7 @@
     """A backend server that knows its open flows and resets all others."""
 
     server: ServerId
+    service: str
     is_alive: bool = True
     open_flows: set[bytes] = field(default_factory=set)
     opened_at: list[Millis] = field(default_factory=list)
@@ -104,6 +106,7 @@
     message_bytes: Callable[[object], int] | None = None
     sent_bytes: Counter[MemberId] = field(default_factory=Counter)
     broken: list[str] = field(default_factory=list)
+    repeated_openings: float = 0.0
     _queue: list[tuple[Millis, int, Callable[[], None]]] = field(default_factory=list)
     _order: "itertools.count[int]" = field(default_factory=itertools.count)
     _n_flows: int = 0
@@ -172,7 +175,8 @@
         self._put(f"addresses/{service.spec.key:x}", service.service)
         for item in service.spec.backend_servers:
             server = server_id(item.name, item.address, item.port)
-            self.servers.setdefault((item.address, item.port), FakeServer(server))
+            fake = FakeServer(server, service.service)
+            self.servers.setdefault((item.address, item.port), fake)
         for member in self.cores:
             self._feed_config(member)
         return self.revision
@@ -211,6 +215,11 @@
             if self.now % TICK == 0:
                 self._tick_cores()
 
+    def carry_out(self, name: str) -> None:
+        """Do what a core has asked for outside its inputs."""
+        member = MemberId(name)
+        self._carry_out(member, self.cores[member])
+
     def _tick_cores(self) -> None:
         for member in list(self.cores):
             if member not in self.paused:
@@ -300,7 +309,10 @@
         if flow.tries > MAX_TRIES:
             self._break(flow, "no answer to the opening packet")
             return
-        self._to_balancer(tcp_packet(flow.source, flow.destination, flags=SYN))
+        opening = tcp_packet(flow.source, flow.destination, flags=SYN)
+        self._to_balancer(opening)
+        if self.random.random() < self.repeated_openings:
+            self._to_balancer(opening)
         self.after(SYN_RETRY, lambda: self._send_opening(flow))
 
     def _send_content(self, flow: Flow, index: int) -> None:
@@ -367,8 +379,10 @@
         server = self.servers[address]
         if not server.is_alive:
             return
-        flow = self.flows[data[12:24]]
-        if flow.service not in server_services(self, server.server):
+        flow = self.flows.get(data[12:24])
+        if flow is None:
+            return
+        if flow.service != server.service:
             raise InvariantViolated("packet at a backend server of another service")
         flags = data[33]
         key = data[12:24]
@@ -415,6 +429,32 @@
             return
         self.after(flow.interval, lambda: self._send_content(flow, flow.sent))
 
+    def probe_servers(self) -> None:
+        """Give every running core one probe result for each of its targets."""
+        for member, core in self.cores.items():
+            if member in self.paused:
+                continue
+            for server, _ in core.probe_targets():
+                fake = self.servers[server_address(server)]
+                core.on_probe_result(server, fake.is_alive)
+
+    def forget_finished(self) -> None:
+        """Drop flows that have ended."""
+        kept = {
+            key: flow
+            for key, flow in self.flows.items()
+            if flow.state in ("opening", "open")
+        }
+        self.flows = kept
+        self._content = {
+            key: self._content[key] for key in kept if key in self._content
+        }
+
+    def revive_server(self, address: Address) -> None:
+        """Start a backend server again; it knows none of its old flows."""
+        self.servers[address].is_alive = True
+        self.servers[address].open_flows.clear()
+
     def kill_server(self, address: Address) -> None:
         """Stop a backend server; its flows are lost with it."""
         self.servers[address].is_alive = False
@@ -427,15 +467,6 @@
         }
 
 
-def server_services(network: MemoryNetwork, server: ServerId) -> set[str]:
-    """Return the services that have ever declared a backend server."""
-    return {
-        key.removeprefix("services/")
-        for key, entry in network.entries.items()
-        if key.startswith("services/") and server.split("@")[0] in (entry.value or "")
-    } | {server.split("@")[0].rpartition("-")[0]}
-
-
 def _flow_key(source: Endpoint, destination: Endpoint) -> bytes:
     return (
         source.packed
