--- a/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
@@ -93,8 +93,6 @@
         self._trace: TraceContext | None = None
         self._sequence = 0
         self._replays: dict[str, ReplayFilter] = {}
-        self._ticked_at = clock()
-        self._pause_limit = core.settings.pause_limit
         self.counters: Counter[str] = Counter()
         loop = gevent.get_hub().loop
         self._watchers = [
@@ -116,8 +114,7 @@
 
     def tick(self) -> None:
         """Run the core's systems and carry out what they ask for."""
-        self._ticked_at = self._clock()
-        self._core.tick(self._ticked_at)
+        self._core.tick(self._clock())
         self.carry_out()
 
     def carry_out(self) -> None:
@@ -126,13 +123,8 @@
         for output in self._core.take_outputs():
             self._carry_out_one(output)
 
-    def _notice_pause(self) -> None:
-        """Tick before packets are decided if this process has not run for long."""
-        if self._clock() - self._ticked_at > self._pause_limit:
-            self.tick()
-
     def _on_fabric(self) -> None:
-        self._notice_pause()
+        self._core.notice_time(self._clock())
         receive = self._fabric.recv
         send = self._fabric.sendto
         fast_address = self._core.fast_address
@@ -184,7 +176,7 @@
         )
 
     def _on_relays(self) -> None:
-        self._notice_pause()
+        self._core.notice_time(self._clock())
         for _ in range(BATCH_PACKETS):
             try:
                 data, sender = self._relays.recvfrom(RECEIVE_BYTES)
@@ -212,7 +204,7 @@
         self._trace = None
 
     def _on_peers(self) -> None:
-        self._notice_pause()
+        self._core.notice_time(self._clock())
         for _ in range(BATCH_PACKETS):
             try:
                 data, address = self._peers.recvfrom(RECEIVE_BYTES)
--- a/packages/stoattray-balancer/src/stoattray_balancer/peer.thrift
+++ b/packages/stoattray-balancer/src/stoattray_balancer/peer.thrift
@@ -153,6 +153,11 @@
   1: list<FlowGroup> groups
 }
 
+struct Evicted {
+  1: i64 incarnation
+  2: i64 n_present
+}
+
 struct Compare {
   1: binary digests
 }
@@ -180,6 +185,7 @@
   16: Seen seen
   17: Health health
   18: Compare compare
+  19: Evicted evicted
 }
 
 struct Envelope {
--- a/packages/stoattray-core/src/stoattray_core/_joining.py
+++ b/packages/stoattray-core/src/stoattray_core/_joining.py
@@ -94,8 +94,7 @@
         request = self.state.requests.next_number()
         rows = self.state.others()
         addresses = {row.peer_address for row in rows if not self._has_answered(row)}
-        known = {row.peer_address for row in rows}
-        addresses.update(set(self.state.seeds) - known)
+        addresses.update(self.membership.lost_addresses)
         addresses.discard(self.state.self_row.peer_address)
         for address in sorted(addresses):
             self.state.send(address, Join(request, self.membership.own_state()))
--- a/packages/stoattray-core/src/stoattray_core/_membership.py
+++ b/packages/stoattray-core/src/stoattray_core/_membership.py
@@ -13,12 +13,22 @@
 from stoattray_core._identifiers import Address, MemberId, Millis
 from stoattray_core._state import State
 from stoattray_core._tables import MemberRow, MemberStatus
-from stoattray_core.messages import Ack, MemberState, Ping, PingRequest
+from stoattray_core.messages import (
+    Ack,
+    Evicted,
+    Join,
+    MemberState,
+    Message,
+    Ping,
+    PingRequest,
+)
 
 MAX_UPDATES_PER_MESSAGE = 8
 N_HELPERS = 2
 SPREAD_FACTOR = 3
 REDISCOVERY_PERIOD = 3_000
+DEAD_RETENTION = 7_200_000
+MAX_FORGOTTEN = 64
 
 
 @dataclass(slots=True)
@@ -48,6 +58,7 @@
     _news: dict[MemberId, int] = field(default_factory=dict)
     _suspected: set[MemberId] = field(default_factory=set)
     _next_probe_at: Millis = 0
+    _forgotten: set[Address] = field(default_factory=set)
     _next_rediscovery_at: Millis = 0
 
     def tick(self) -> None:
@@ -82,6 +93,37 @@
         if probe is not None and probe.target != sender:
             self._mark_heard(probe.target)
 
+    def admit(self, message: Message, sender: MemberId, address: Address) -> bool:
+        """Return whether a message counts, and tell a dead sender why not.
+
+        The word of a balancer that was declared dead is not taken, until it has
+        announced a new incarnation: after a cut, each side holds the other for
+        dead, and must not spread that.
+        """
+        if isinstance(message, Ping | Join):
+            for update in _own_updates(message, sender):
+                self.merge_one(update)
+        row = self.state.tables.members.get(sender)
+        if row is None or row.is_present or isinstance(message, Evicted):
+            return True
+        self.state.send(address, Evicted(row.incarnation, self._n_present()))
+        return False
+
+    def on_evicted(self, evicted: Evicted, sender: MemberId) -> None:
+        """Rejoin if the sender is right to hold this balancer for dead.
+
+        If each holds the other for dead, the smaller side rejoins.
+        """
+        row = self.state.self_row
+        if evicted.incarnation < row.incarnation or not row.is_present:
+            return
+        other = self.state.tables.members.get(sender)
+        if other is not None and not other.is_present:
+            own_side = (self._n_present(), sender)
+            if own_side > (evicted.n_present, self.state.me):
+                return
+        self.rejoin()
+
     def on_ping_request(self, request: PingRequest, address: Address) -> None:
         """Ping a balancer on behalf of another."""
         row = self.state.tables.members.get(MemberId(request.target))
@@ -108,6 +150,8 @@
             return False
         row = self.state.tables.members.get(member)
         order = (update.incarnation, update.status)
+        if row is None and update.status == MemberStatus.DEAD:
+            return False
         if row is not None and order <= (row.incarnation, row.status):
             row.config_revision = max(row.config_revision, update.config_revision)
             return False
@@ -129,6 +173,7 @@
         row.incarnation += 1
         row.status = MemberStatus.JOINING
         self._probes.clear()
+        self._forget_dead(older_than=self.state.now)
         for shard, owned in enumerate(self.state.tables.shards):
             if owned.owner == self.state.me:
                 owned.owner = None
@@ -145,6 +190,14 @@
             if row.config_revision < revision:
                 self.state.send(row.peer_address, self._ping(self._next_sequence()))
 
+    @property
+    def lost_addresses(self) -> set[Address]:
+        """Return where balancers may be that are not known to be present."""
+        members = self.state.tables.members.values()
+        known = {row.peer_address for row in members if row.is_present}
+        lost = {row.peer_address for row in members if not row.is_present}
+        return (lost | self._forgotten | set(self.state.seeds)) - known
+
     def own_state(self) -> MemberState:
         """Return this balancer's state as a message."""
         return describe_member(self.state.self_row)
@@ -232,25 +285,15 @@
 
     def _probe_lost(self) -> None:
         """Ping an address of which nobody present is known, to heal a cut."""
-        members = self.state.tables.members.values()
-        known = {row.peer_address for row in members if row.is_present}
-        lost = {row.peer_address for row in members if not row.is_present}
-        candidates = sorted((lost | set(self.state.seeds)) - known)
+        self._forget_dead(older_than=self.state.now - DEAD_RETENTION)
+        candidates = sorted(self.lost_addresses)
         if candidates:
             address = self.state.random.choice(candidates)
             ping = self._ping(self._next_sequence())
             present = describe_member(self.state.self_row)
-            ping.updates = [present, *self._lost_at(address)]
+            ping.updates = [present]
             self.state.send(address, ping)
 
-    def _lost_at(self, address: Address) -> list[MemberState]:
-        rows = self.state.tables.members.values()
-        return [
-            describe_member(row)
-            for row in rows
-            if row.peer_address == address and not row.is_present
-        ]
-
     def _ask_helpers(self) -> None:
         now = self.state.now
         settings = self.state.settings
@@ -285,6 +328,20 @@
                 dead.status = MemberStatus.DEAD
                 self.merge_one(dead)
 
+    def _forget_dead(self, older_than: Millis) -> None:
+        """Drop the rows of dead balancers, and keep some of their addresses."""
+        members = self.state.tables.members
+        for row in list(members.values()):
+            if row.is_present or row.changed_at > older_than:
+                continue
+            del members[row.member]
+            self.state.tables.down_by_member.pop(row.member, None)
+            if len(self._forgotten) < MAX_FORGOTTEN:
+                self._forgotten.add(row.peer_address)
+
+    def _n_present(self) -> int:
+        return sum(1 for _ in self.state.tables.present_members())
+
     def _suspects(self) -> list[MemberRow]:
         """Return the present balancers that are silent, and drop all others."""
         rows: list[MemberRow] = []
@@ -316,3 +373,10 @@
         status=int(row.status),
         config_revision=row.config_revision,
     )
+
+
+def _own_updates(message: Ping | Join, sender: MemberId) -> list[MemberState]:
+    """Return what a balancer says of itself."""
+    if isinstance(message, Join):
+        return [message.sender]
+    return [update for update in message.updates if update.member == sender]
--- a/packages/stoattray-core/src/stoattray_core/core.py
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -41,6 +41,7 @@
     ConfigPull,
     CopyRecords,
     Done,
+    Evicted,
     Gather,
     GatherReply,
     Handover,
@@ -243,6 +244,8 @@
         """
         if sender == self._state.me:
             return
+        if not self._membership.admit(message, sender, address):
+            return
         self._membership.on_heard(sender)
         self._dispatch(message, sender, address)
 
@@ -262,6 +265,11 @@
         """Ping each balancer that is not known to serve `revision`."""
         self._membership.ping_lacking(revision)
 
+    def notice_time(self, now: Millis) -> None:
+        """Tick before anything is decided if this process has not run for long."""
+        if now - self._state.now > self._state.settings.pause_limit:
+            self.tick(now)
+
     def tick(self, now: Millis) -> None:
         """Run every system once, in a fixed order."""
         gap = now - self._state.now
@@ -371,6 +379,8 @@
                 self._use.on_hint(message)
             case Seen():
                 self._use.on_seen(message)
+            case Evicted():
+                self._membership.on_evicted(message, sender)
             case Compare():
                 self._anti_entropy.on_compare(message, sender)
             case Health():
--- a/packages/stoattray-core/src/stoattray_core/messages.py
+++ b/packages/stoattray-core/src/stoattray_core/messages.py
@@ -237,6 +237,17 @@
     groups: list[FlowGroup] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Evicted:
+    """Tells the receiver that the sender counts it as dead.
+
+    ``n_present`` is the number of balancers on the sender's side of a cut.
+    """
+
+    incarnation: int
+    n_present: int
+
+
 @dataclass(slots=True)
 class Compare:
     """A digest of 64 bits for each shard, big-endian, in order of shards."""
@@ -270,4 +281,5 @@
     | Health
     | Loads
     | Compare
+    | Evicted
 )
--- a/packages/stoattray-standin/src/stoattray_standin/memory.py
+++ b/packages/stoattray-standin/src/stoattray_standin/memory.py
@@ -267,7 +267,10 @@
             self.after(HOP_DELAY + extra, action)
 
     def _running(self, member: MemberId) -> Core | None:
-        return None if member in self.paused else self.cores.get(member)
+        core = None if member in self.paused else self.cores.get(member)
+        if core is not None:
+            core.notice_time(self.now)
+        return core
 
     def _message(self, sender: MemberId, target: MemberId, message: object) -> None:
         core = self._running(target)
