--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each prints lines of `name value unit`."""
--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -143,7 +143,7 @@
 
 
 def memory_per_flow(core: Core, n_flows: int) -> float:
-    """Return bytes of resident memory per open flow of tracked buckets."""
+    """Return bytes of resident memory per flow that opens now."""
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     destination = Endpoint("192.0.2.10", 443)
     template = bytearray(tcp_packet(Endpoint("10.0.0.1", 1), destination, flags=SYN))
@@ -175,6 +175,8 @@
     print(f"datapath_established_rate {1e6 / balancer:.0f} packets/s")
     bare, balancer = measure(rig, core, opening, arguments.rounds)
     print(f"datapath_opening_ratio {balancer / bare:.2f} times")
+    settled = memory_per_flow(core, arguments.open_flows)
+    print(f"datapath_settled_flow_memory {settled:.1f} bytes/flow")
     core.track(ServiceId("tanglaw/lookup"))
     bytes_per_flow = memory_per_flow(core, arguments.open_flows)
     print(f"datapath_tracked_flow_memory {bytes_per_flow:.0f} bytes/flow")
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,9 +31,9 @@
         for seed, future in futures.items():
             try:
                 result = future.result()
-            except AssertionError as error:
+            except Exception as error:  # noqa: BLE001 - shown, and not clean
                 is_clean = False
-                print(f"soak_seed_{seed} invariant_violated: {error}", flush=True)
+                print(f"soak_seed_{seed} failed: {error!r}", flush=True)
                 continue
             is_clean &= _print_result(result)
     return 0 if is_clean else 1
--- a/packages/stoattray-balancer/src/stoattray_balancer/_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_codec.py
@@ -1,4 +1,7 @@
-"""Thrift form of the messages between balancers.
+"""Thrift form of the messages between balancers, in the compact protocol.
+
+The library's compiled binary protocol is faster, but crashed or ran on for
+minutes on changed length fields, which the compact one refuses.
 
 Each data class in ``stoattray_core.messages`` stands for the struct of the
 same name in ``peer.thrift``; the fields have the same names.
@@ -6,16 +9,23 @@
 
 import dataclasses
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import thriftpy2
-from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.protocol import TCompactProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
+from stoattray_balancer._groups import (
+    pack_buckets,
+    pack_claims,
+    unpack_buckets,
+    unpack_claims,
+)
 from stoattray_core import ErrorKind, Refused, messages
-from stoattray_core.messages import Message
+from stoattray_core.messages import BucketState, Message, ShardState
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 64_000
@@ -23,7 +33,7 @@
 _IDL = thriftpy2.load(
     str(Path(__file__).with_name("peer.thrift")), module_name="peer_thrift"
 )
-_PROTOCOL = TCyBinaryProtocolFactory()
+_PROTOCOL = TCompactProtocolFactory()
 _WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
 _INTEGER_BOUND = 1 << 63
 
@@ -111,7 +121,7 @@
 
 def _to_thrift(value: Any) -> Any:
     if isinstance(value, list):
-        return [_to_thrift(item) for item in value]
+        return _list_to_thrift(value)
     if not dataclasses.is_dataclass(value):
         return value
     struct = getattr(_IDL, type(value).__name__)()
@@ -120,6 +130,44 @@
     return struct
 
 
+def _list_to_thrift(items: list[Any]) -> list[Any]:
+    if items and isinstance(items[0], BucketState):
+        return [
+            _IDL.BucketGroup(
+                service_name=service, base=base, tracked=tracked, buckets=packed
+            )
+            for (service, base, tracked), packed in pack_buckets(items)
+        ]
+    if items and isinstance(items[0], ShardState):
+        return [
+            _IDL.ClaimGroup(owner=owner, claims=packed)
+            for owner, packed in pack_claims(items)
+        ]
+    return [_to_thrift(item) for item in items]
+
+
+def _list_from_thrift(name: str, items: list[Any], expected: type) -> list[Any]:
+    if expected is BucketState:
+        return [bucket for item in items for bucket in _read_bucket_group(item)]
+    if expected is ShardState:
+        return [claim for item in items for claim in _read_claim_group(item)]
+    return [_read_item(name, item, expected) for item in items]
+
+
+def _read_bucket_group(group: Any) -> Iterator[BucketState]:
+    key = (
+        _check_scalar("service_name", group.service_name, str),
+        _check_scalar("base", group.base, str),
+        _check_scalar("tracked", group.tracked, bool),
+    )
+    return unpack_buckets(key, _read_item("buckets", group.buckets, bytes))
+
+
+def _read_claim_group(group: Any) -> Iterator[ShardState]:
+    owner = _check_scalar("owner", group.owner, str)
+    return unpack_claims(owner, _read_item("claims", group.claims, bytes))
+
+
 def _from_thrift(struct: Any, cls: type) -> Any:
     values: dict[str, Any] = {}
     for field in dataclasses.fields(cls):
@@ -134,7 +182,7 @@
     if expected.is_list:
         if not isinstance(value, list):
             raise ValueError(f"{name}: expected a list")
-        return [_read_item(name, item, expected.item) for item in value]
+        return _list_from_thrift(name, value, expected.item)
     return _read_item(name, value, expected.item)
 
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
@@ -13,7 +13,14 @@
 from stoattray_balancer._resets import build_answer
 from stoattray_balancer._sealing import Keyring, ReplayFilter
 from stoattray_balancer._telemetry import CONTEXT_BYTES, Telemetry, TraceContext
-from stoattray_core import Address, Core, MemberId, Millis, Refused
+from stoattray_core import (
+    Address,
+    Core,
+    InvariantViolated,
+    MemberId,
+    Millis,
+    Refused,
+)
 from stoattray_core.messages import Message
 from stoattray_core.outputs import Event, Forward, Output, Reject, Relay, Send
 
@@ -114,7 +121,11 @@
 
     def tick(self) -> None:
         """Run the core's systems and carry out what they ask for."""
-        self._core.tick(self._clock())
+        try:
+            self._core.tick(self._clock())
+        except InvariantViolated as error:
+            self.counters["invariants_violated"] += 1
+            self._core.start_over(str(error))
         self.carry_out()
 
     def carry_out(self) -> None:
--- a/packages/stoattray-balancer/src/stoattray_balancer/_declarations.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_declarations.py
@@ -97,6 +97,12 @@
         conditions.append(Precondition(claim, claimed.revision))
         puts.append(Put(claim, service.service))
         before = read_service(held.value) if held.value is not None else None
+        if before is not None and before.spec.policy != service.spec.policy:
+            reason = (
+                f"spec.policy={service.spec.policy.value!r}: expected "
+                f"{before.spec.policy.value!r}; the policy of a service never changes"
+            )
+            raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
         if before is not None and before.spec.key != service.spec.key:
             self._release(before, conditions, puts)
         return self._write(conditions, puts)
--- a/packages/stoattray-balancer/src/stoattray_balancer/peer.thrift
+++ b/packages/stoattray-balancer/src/stoattray_balancer/peer.thrift
@@ -3,12 +3,12 @@
 struct MemberState {
   1: string member
   2: string host
-  3: i64 peer_port
-  4: i64 relay_port
-  5: i64 api_port
+  3: i32 peer_port
+  4: i32 relay_port
+  5: i32 api_port
   6: string data_centre
   7: i64 incarnation
-  8: i64 status
+  8: i16 status
   9: i64 config_revision
 }
 
@@ -31,16 +31,6 @@
   2: string target
 }
 
-struct LoadReport {
-  1: string service_name
-  2: i64 revision
-  3: binary counts
-}
-
-struct Loads {
-  1: list<LoadReport> reports
-}
-
 struct ConfigPull {
   1: i64 after
 }
@@ -65,24 +55,24 @@
   4: binary flows
 }
 
-struct BucketState {
+/* Buckets of nine bytes each: shard (1), epoch (4), version (4). */
+struct BucketGroup {
   1: string service_name
-  2: i64 shard
-  3: i64 epoch
-  4: i64 version
-  5: bool tracked
-  6: string base
+  2: string base
+  3: bool tracked
+  4: binary buckets
 }
 
-struct ShardState {
-  1: i64 shard
-  2: i64 epoch
-  3: string owner
+/* Claims of five bytes each: shard (1), epoch (4). */
+struct ClaimGroup {
+  1: string owner
+  2: binary claims
 }
 
 struct Join {
   1: i64 request
   2: MemberState sender
+  3: list<ClaimGroup> shards
 }
 
 struct JoinReply {
@@ -91,15 +81,15 @@
   3: i64 n_parts
   4: MemberState sender
   5: list<MemberState> members
-  6: list<ShardState> shards
-  7: list<BucketState> buckets
+  6: list<ClaimGroup> shards
+  7: list<BucketGroup> buckets
   8: list<FlowGroup> pins
 }
 
 struct BucketUpdate {
   1: i64 request
-  2: list<ShardState> shards
-  3: list<BucketState> buckets
+  2: list<ClaimGroup> shards
+  3: list<BucketGroup> buckets
   4: list<FlowGroup> pins
 }
 
@@ -117,14 +107,14 @@
   4: i64 config_revision
   5: i64 part
   6: i64 n_parts
-  7: list<BucketState> buckets
+  7: list<BucketGroup> buckets
   8: list<FlowGroup> pins
   9: list<FlowGroup> records
 }
 
 struct Gather {
   1: i64 request
-  2: list<ShardState> shards
+  2: list<ClaimGroup> shards
 }
 
 struct GatherReply {
@@ -132,16 +122,16 @@
   2: i64 config_revision
   3: i64 part
   4: i64 n_parts
-  5: list<BucketState> buckets
+  5: list<BucketGroup> buckets
   6: list<FlowGroup> pins
   7: list<FlowGroup> records
-  8: list<ShardState> later
+  8: list<ClaimGroup> later
 }
 
 struct Done {
   1: i64 request
   2: bool accepted
-  3: list<ShardState> shards
+  3: list<ClaimGroup> shards
   4: list<FlowGroup> used
 }
 
@@ -170,7 +160,6 @@
   1: Ping ping
   2: Ack ack
   3: PingRequest ping_request
-  4: Loads loads
   5: ConfigPull config_pull
   6: ConfigDelta config_delta
   7: Join join
@@ -189,7 +178,7 @@
 }
 
 struct Envelope {
-  1: i64 version
+  1: i16 version
   2: string sender
   3: i64 incarnation
   4: i64 sequence
--- a/packages/stoattray-core/src/stoattray_core/_announcer.py
+++ b/packages/stoattray-core/src/stoattray_core/_announcer.py
@@ -8,11 +8,11 @@
     known_buckets,
     split_buckets,
 )
-from stoattray_core._identifiers import MemberId
+from stoattray_core._identifiers import MemberId, ServiceId
 from stoattray_core._requests import PendingRequest
 from stoattray_core._state import State
 from stoattray_core._tables import BucketKey, MemberRow, Move
-from stoattray_core.messages import BucketUpdate, ShardState
+from stoattray_core.messages import BucketState, BucketUpdate, ShardState
 
 NOT_SENT = 0
 
@@ -23,6 +23,7 @@
 
     state: State
     _changed: dict[BucketKey, None] = field(default_factory=dict)
+    _claimed: list[int] = field(default_factory=list)
 
     def mark(self, key: BucketKey) -> None:
         """Have a bucket announced with the next batch."""
@@ -31,6 +32,10 @@
         if move is not None:
             move.announcement = NOT_SENT
 
+    def mark_claim(self, shard: int) -> None:
+        """Have the ownership of a shard announced with the next batch."""
+        self._claimed.append(shard)
+
     def is_acknowledged(self, move: Move) -> bool:
         """Return whether every present balancer has the bucket as it is now."""
         if move.announcement == NOT_SENT:
@@ -39,14 +44,16 @@
 
     def send(self) -> None:
         """Send what has gathered."""
-        if not self._changed:
+        if not self._changed and not self._claimed:
             return
         changed = list(self._changed)
-        self._changed = {}
+        claimed = self._claimed
+        self.forget()
         group = self.state.requests.next_number()
         for part in split_buckets(changed, self.state.tables.services):
-            if part.buckets:
-                self._send_part(group, part)
+            if part.buckets or claimed:
+                self._send_part(group, part, claimed)
+                claimed = []
         for key in changed:
             move = self.state.tables.moves.get(key)
             if move is not None:
@@ -61,17 +68,23 @@
         keys = known_buckets(self.state, shards)
         first = True
         for part in split_buckets(keys, self.state.tables.services):
-            claimed = shards if first else sorted({item.shard for item in part.buckets})
+            claimed = shards if first else []
             first = False
             claims = [describe_shard(self.state, shard) for shard in claimed]
             self._send_one(group, row, part, claims)
 
+    def _owning_shard(self, bucket: BucketState) -> int:
+        key = (ServiceId(bucket.service_name), bucket.shard)
+        return self.state.owning_shard(key)
+
     def forget(self) -> None:
         """Drop what has not been sent."""
         self._changed = {}
+        self._claimed = []
 
-    def _send_part(self, group: int, part: BucketPart) -> None:
-        shards = sorted({bucket.shard for bucket in part.buckets})
+    def _send_part(self, group: int, part: BucketPart, claimed: list[int]) -> None:
+        owning = {self._owning_shard(bucket) for bucket in part.buckets}
+        shards = sorted(owning.union(claimed))
         claims = [describe_shard(self.state, shard) for shard in shards]
         for row in self.state.others():
             self._send_one(group, row, part, claims)
--- a/packages/stoattray-core/src/stoattray_core/_anti_entropy.py
+++ b/packages/stoattray-core/src/stoattray_core/_anti_entropy.py
@@ -65,17 +65,24 @@
         shards = [
             shard
             for shard in range(N_SHARDS)
-            if theirs[shard] != self._digests[shard] and self.ownership.is_owner(shard)
+            if theirs[shard] != self._digests[shard] and self._may_repair(shard)
         ]
         if shards:
             self.state.log("repair", member=sender, n_shards=len(shards))
             self.announcer.announce_again(shards, sender)
 
+    def _may_repair(self, shard: int) -> bool:
+        """Return whether this balancer owns a shard, or knows that nobody does."""
+        has_owner = self.state.tables.shards[shard].owner is not None
+        return not has_owner or self.ownership.is_owner(shard)
+
     def _shard_digest(self, shard: int) -> int:
         row = self.state.tables.shards[shard]
         parts = [f"{row.epoch} {row.owner}"]
-        for service in sorted(self.state.tables.services):
-            bucket = self.state.tables.services[service].buckets[shard]
+        for service, number in sorted(self.state.owned_keys(shard)):
+            bucket = self.state.tables.services[service].buckets[number]
             if bucket is not None:
-                parts.append(f"{service} {bucket.order} {bucket.tracked} {bucket.base}")
+                parts.append(
+                    f"{service} {number} {bucket.order} {bucket.tracked} {bucket.base}"
+                )
         return xxh3_64_intdigest("\n".join(parts).encode())
--- a/packages/stoattray-core/src/stoattray_core/_bucket_changes.py
+++ b/packages/stoattray-core/src/stoattray_core/_bucket_changes.py
@@ -19,7 +19,7 @@
 
     def create(self, row: ServiceRow, shard: int) -> Bucket:
         """Settle a bucket that no balancer has known."""
-        epoch = self.state.tables.shards[shard].epoch
+        epoch = self.state.epoch_of((row.spec.service, shard))
         bucket = Bucket(epoch, 1, tracked=False, base=row.desired[shard])
         self._install(row, shard, bucket)
         return bucket
@@ -27,7 +27,7 @@
     def begin(self, row: ServiceRow, shard: int, *, is_planned: bool) -> Move:
         """Make a settled bucket tracked."""
         held = row.buckets[shard]
-        epoch = self.state.tables.shards[shard].epoch
+        epoch = self.state.epoch_of((row.spec.service, shard))
         move = Move(self.state.now, is_planned)
         self.state.tables.moves[(row.spec.service, shard)] = move
         bucket = Bucket(epoch, held.version + 1, True, held.base, held.pins)
@@ -54,7 +54,7 @@
         for flow, record in move.records.items():
             if record.server != base:
                 pins[flow] = record.server
-        epoch = self.state.tables.shards[shard].epoch
+        epoch = self.state.epoch_of((row.spec.service, shard))
         move.is_settling = True
         bucket = Bucket(epoch, held.version + 1, False, base, pins)
         self._install(row, shard, bucket)
@@ -64,7 +64,8 @@
         """Drop the records of a bucket that all balancers know as settled."""
         move = self.state.tables.moves.pop((row.spec.service, shard))
         for record in move.records.values():
-            count_opened(self.state, row, record.server, -1)
+            if not record.is_ended:
+                count_opened(row, record.server, -1)
         bucket = row.buckets[shard]
         install_bucket(self.state, row, shard, bucket)
         return move
@@ -74,7 +75,7 @@
     ) -> None:
         """Announce a bucket with other pins."""
         held = row.buckets[shard]
-        epoch = self.state.tables.shards[shard].epoch
+        epoch = self.state.epoch_of((row.spec.service, shard))
         bucket = Bucket(epoch, held.version + 1, held.tracked, held.base, pins)
         bucket.hints = held.hints
         bucket.used = held.used
@@ -85,8 +86,8 @@
         """Announce a bucket under the epoch of its new owner."""
         row = self.state.tables.services[key[0]]
         bucket = row.buckets[key[1]]
-        bucket.epoch = self.state.tables.shards[key[1]].epoch
-        self.state.dirty_shards.add(key[1])
+        bucket.epoch = self.state.epoch_of(key)
+        self.state.dirty_shards.add(self.state.owning_shard(key))
         self.announcer.mark(key)
 
     def _install(self, row: ServiceRow, shard: int, bucket: Bucket) -> None:
--- a/packages/stoattray-core/src/stoattray_core/_buckets.py
+++ b/packages/stoattray-core/src/stoattray_core/_buckets.py
@@ -13,11 +13,12 @@
     ServiceId,
     server_address,
 )
+from stoattray_core._placement import count_opened
 from stoattray_core._state import State
 from stoattray_core._tables import Bucket, BucketKey, ServiceRow
 from stoattray_core.messages import BucketState, FlowGroup, ShardState
 
-BUCKET_STATE_BYTES = 64
+BUCKET_STATE_BYTES = 12
 MAX_PART_BYTES = 16_000
 
 
@@ -58,14 +59,13 @@
     yield part
 
 
-def known_buckets(state: State, shards: Iterable[int] | None = None) -> list[BucketKey]:
-    """Return the key of each bucket that this balancer knows."""
-    wanted = range(N_SHARDS) if shards is None else list(shards)
+def known_buckets(state: State, shards: Iterable[int]) -> list[BucketKey]:
+    """Return each known bucket for which an owner of one of `shards` decides."""
     return [
-        (service, shard)
-        for service, row in state.tables.services.items()
-        for shard in wanted
-        if row.buckets[shard] is not None
+        key
+        for shard in shards
+        for key in state.owned_keys(shard)
+        if state.tables.services[key[0]].buckets[key[1]] is not None
     ]
 
 
@@ -107,8 +107,8 @@
     if held is not None and bucket.order < held.order:
         raise InvariantViolated("bucket version went down")
     row.buckets[shard] = bucket
-    state.dirty_shards.add(shard)
     key = (row.spec.service, shard)
+    state.dirty_shards.add(state.owning_shard(key))
     if not bucket.tracked:
         state.tables.copies.pop(key, None)
     if bucket.pins:
@@ -144,14 +144,16 @@
 
 
 def _adopt_claim(state: State, claim: ShardState) -> None:
+    """Take in a claim; one for this balancer that it gave up is outdone."""
     row = state.tables.shards[claim.shard]
     if (claim.epoch, claim.owner) == row.order:
         return
     state.note_owner_change(claim.shard)
     was_mine = row.owner == state.me
     member = state.tables.members.get(MemberId(claim.owner))
-    is_usable = member is not None and member.is_present and member.member != state.me
-    row.epoch = claim.epoch
+    is_mine = member is not None and member.member == state.me
+    is_usable = member is not None and member.is_present and not is_mine
+    row.epoch = claim.epoch + 1 if is_mine else claim.epoch
     row.owner = MemberId(claim.owner) if is_usable else None
     if was_mine:
         release_shard(state, claim.shard)
@@ -159,10 +161,14 @@
 
 def release_shard(state: State, shard: int) -> None:
     """Turn the owner's records of a shard into copies."""
-    for key in [key for key in state.tables.moves if key[1] == shard]:
+    moves = state.tables.moves
+    for key in [key for key in moves if state.owning_shard(key) == shard]:
         move = state.tables.moves.pop(key)
+        for record in move.records.values():
+            if not record.is_ended:
+                count_opened(state.tables.services[key[0]], record.server, -1)
         if move.is_settling:
-            refresh_fast_address(state, state.tables.services[key[0]], shard)
+            refresh_fast_address(state, state.tables.services[key[0]], key[1])
             continue
         copies = state.tables.copies.setdefault(key, {})
         for flow, record in move.records.items():
--- a/packages/stoattray-core/src/stoattray_core/_copying.py
+++ b/packages/stoattray-core/src/stoattray_core/_copying.py
@@ -82,17 +82,19 @@
         self._seen_version = self.state.membership_version
         for number, copying in list(self._copying.items()):
             is_lost = not self.state.requests.is_open(number)
-            if is_lost or self._successor_id(copying.key[1]) != copying.member:
+            if is_lost or self._successor_id(copying.key) != copying.member:
                 del self._copying[number]
                 self.state.requests.drop_groups([number])
                 self.add(copying.key, copying.flows)
+        moves = self.state.tables.moves
+        shards = {key: self.state.owning_shard(key) for key in moves}
         changed = {
             shard
-            for shard in {shard for _, shard in self.state.tables.moves}
+            for shard in set(shards.values())
             if self._successors.get(shard) != self._successor(shard)
         }
-        for key in self.state.tables.moves:
-            if key[1] in changed:
+        for key, shard in shards.items():
+            if shard in changed:
                 self.add_all(key)
         for shard in changed:
             self._successors[shard] = self._successor(shard)
@@ -131,7 +133,7 @@
         move = self.state.tables.moves.get(key)
         if move is None:
             return
-        member = self._successor_id(shard)
+        member = self._successor_id(key)
         if member is None:
             self._release(move, flows)
             return
@@ -139,9 +141,10 @@
             flow: move.records[flow].server for flow in flows if flow in move.records
         }
         number = self.state.requests.next_number()
-        epoch = self.state.tables.shards[shard].epoch
+        owning = self.state.owning_shard(key)
+        epoch = self.state.tables.shards[owning].epoch
         groups = list(pack_groups(service, shard, known))
-        message = CopyRecords(number, epoch, shard, groups)
+        message = CopyRecords(number, epoch, owning, groups)
         address = self.state.tables.members[member].peer_address
         pending = PendingRequest(
             number, number, member, address, message, self.state.now
@@ -159,8 +162,8 @@
             for data in move.held_by_flow.pop(flow, ()):
                 self.state.emit(Forward(server_address(record.server), data))
 
-    def _successor_id(self, shard: int) -> MemberId | None:
-        return self.ownership.successor(shard)
+    def _successor_id(self, key: BucketKey) -> MemberId | None:
+        return self.ownership.successor(self.state.owning_shard(key))
 
     def _successor(self, shard: int) -> tuple[MemberId, int] | None:
         member = self.ownership.successor(shard)
--- a/packages/stoattray-core/src/stoattray_core/_distribution.py
+++ b/packages/stoattray-core/src/stoattray_core/_distribution.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field
 
+from xxhash import xxh3_64_intdigest
+
 from stoattray_core._buckets import refresh_fast_address
 from stoattray_core._errors import InvariantViolated
 from stoattray_core._hashing import placement_table
@@ -23,6 +25,7 @@
 from stoattray_core.configuration import (
     BackendServerSpec,
     ConfigEntry,
+    Policy,
     ServerState,
     ServiceSpec,
 )
@@ -145,6 +148,7 @@
             self.state.tables.services[spec.service] = row
         row.spec = spec
         row.revision = revision
+        row.home = home_shard(spec)
         refresh_desired(self.state, row)
 
     def _assign_addresses(self) -> None:
@@ -168,6 +172,16 @@
                 del table[key]
 
 
+def home_shard(spec: ServiceSpec) -> int | None:
+    """Return the shard whose owner decides for the whole service, if there is one.
+
+    The policy of a service never changes, so that this does not either.
+    """
+    if spec.policy is not Policy.BALANCE:
+        return None
+    return xxh3_64_intdigest(spec.service.encode()) % N_SHARDS
+
+
 def address_claim_key(key: int) -> str:
     """Return the name of the entry that says which service has an address."""
     return f"{ADDRESSES_PREFIX}{key:x}"
@@ -192,11 +206,11 @@
 def failed_servers(state: State) -> frozenset[ServerId]:
     """Return the backend servers that a majority of their probers calls down."""
     votes: dict[str, int] = {}
-    for member, down in state.tables.down_by_member.items():
+    for member, verdict in state.tables.verdicts.items():
         row = state.tables.members.get(member)
         if row is None or not row.is_present:
             continue
-        for server in down:
+        for server in verdict.down:
             votes[server] = votes.get(server, 0) + 1
     n_needed = 2 if sum(1 for _ in state.tables.live_members()) > 1 else 1
     return frozenset(
--- a/packages/stoattray-core/src/stoattray_core/_flow_use.py
+++ b/packages/stoattray-core/src/stoattray_core/_flow_use.py
@@ -109,7 +109,7 @@
             for flow in unpack_group(group):
                 if flow not in move.records and flow not in bucket.pins:
                     move.records[flow] = FlowRecord(bucket.base, self.state.now)
-                    count_opened(self.state, row, bucket.base, 1)
+                    count_opened(row, bucket.base, 1)
 
     def _bucket(self, group: FlowGroup) -> Bucket | None:
         row = self.state.tables.services.get(ServiceId(group.service_name))
@@ -134,13 +134,14 @@
             ]
             for flow in expired:
                 record = move.records.pop(flow)
-                count_opened(self.state, row, record.server, -1)
+                if not record.is_ended:
+                    count_opened(row, record.server, -1)
 
     def _expire_pins(self) -> None:
         """Announce buckets anew without the pins that nobody uses any more."""
         for key in list(self.state.tables.pinned_buckets):
             row = self.state.tables.services.get(key[0])
-            is_mine = self.ownership.is_owner(key[1])
+            is_mine = self.ownership.is_owner(self.state.owning_shard(key))
             if row is None or not is_mine or key in self.state.tables.moves:
                 continue
             held = row.buckets[key[1]]
@@ -207,7 +208,7 @@
         key: BucketKey,
         flows: list[FlowId],
     ) -> None:
-        owner = self.state.tables.shards[key[1]].owner
+        owner = self.state.tables.shards[self.state.owning_shard(key)].owner
         packed = FlowGroup(key[0], key[1], "", b"".join(flows))
         if owner == self.state.me:
             self.on_seen(Seen([packed]))
--- a/packages/stoattray-core/src/stoattray_core/_health.py
+++ b/packages/stoattray-core/src/stoattray_core/_health.py
@@ -12,6 +12,7 @@
     server_address,
 )
 from stoattray_core._state import State
+from stoattray_core._tables import VerdictRow
 from stoattray_core.messages import Health
 
 N_PROBERS = 3
@@ -19,6 +20,7 @@
 N_SUCCESSES_FOR_UP = 2
 SPREAD_PERIOD = 2_000
 CHECK_PERIOD = 100
+VERDICT_LIFETIME = 7_000
 
 
 @dataclass(slots=True)
@@ -75,20 +77,35 @@
 
     def on_health(self, health: Health, sender: MemberId) -> None:
         """Take in another prober's verdicts."""
-        self.state.tables.down_by_member[sender] = frozenset(health.down)
+        self._note(sender, frozenset(health.down))
+
+    def _note(self, member: MemberId, down: frozenset[str]) -> None:
+        self.state.tables.verdicts[member] = VerdictRow(down, self.state.now)
+
+    def _forget_others_targets(self) -> None:
+        """Drop own verdicts of backend servers that others probe now."""
+        probed = {server for server, _ in self.targets()}
+        for server in [server for server in self._verdicts if server not in probed]:
+            del self._verdicts[server]
+
+    def _forget_old_verdicts(self) -> None:
+        """Drop verdicts that were not repeated: the last word may be lost."""
+        verdicts = self.state.tables.verdicts
+        for member, row in list(verdicts.items()):
+            if self.state.now - row.heard_at > VERDICT_LIFETIME:
+                del verdicts[member]
 
     def tick(self) -> None:
         """Spread this balancer's verdicts and put the majority's into force."""
         if self.state.now - self._checked_at < CHECK_PERIOD:
             return
         self._checked_at = self.state.now
-        probed = {server for server, _ in self.targets()}
+        self._forget_others_targets()
         down = frozenset(
-            server
-            for server, verdict in self._verdicts.items()
-            if verdict.is_down and server in probed
+            server for server, verdict in self._verdicts.items() if verdict.is_down
         )
-        self.state.tables.down_by_member[self.state.me] = down
+        self._note(self.state.me, down)
+        self._forget_old_verdicts()
         is_due = self.state.now - self._sent_at >= SPREAD_PERIOD
         if down != self._sent or (is_due and down):
             self._sent = down
--- a/packages/stoattray-core/src/stoattray_core/_invariants.py
+++ b/packages/stoattray-core/src/stoattray_core/_invariants.py
@@ -56,9 +56,10 @@
     def _check_shard(self, row: ServiceRow, shard: int) -> None:
         state = self._state
         where = f"{row.spec.service} {shard}"
-        is_mine = state.tables.shards[shard].owner == state.me
+        owning = state.owning_shard((row.spec.service, shard))
+        is_mine = state.tables.shards[owning].owner == state.me
         if is_mine and state.self_row.status is MemberStatus.JOINING:
-            raise InvariantViolated(f"joining balancer owns shard {shard}")
+            raise InvariantViolated(f"joining balancer owns shard {owning}")
         bucket = row.buckets[shard]
         move = state.tables.moves.get((row.spec.service, shard))
         if move is not None and not is_mine:
--- a/packages/stoattray-core/src/stoattray_core/_joining.py
+++ b/packages/stoattray-core/src/stoattray_core/_joining.py
@@ -56,6 +56,7 @@
     def on_join(self, join: Join, address: Address) -> None:
         """Register the sender and send it what this balancer knows."""
         self.membership.merge_one(join.sender)
+        apply_shards(self.state, join.shards)
         self._send_reply(join.request, address)
 
     def on_reply(self, reply: JoinReply) -> None:
@@ -96,8 +97,14 @@
         addresses = {row.peer_address for row in rows if not self._has_answered(row)}
         addresses.update(self.membership.lost_addresses)
         addresses.discard(self.state.self_row.peer_address)
+        shards = [
+            describe_shard(self.state, shard)
+            for shard, row in enumerate(self.state.tables.shards)
+            if row.epoch > 0
+        ]
         for address in sorted(addresses):
-            self.state.send(address, Join(request, self.membership.own_state()))
+            join = Join(request, self.membership.own_state(), shards)
+            self.state.send(address, join)
 
     def _may_become_live(self) -> bool:
         rows = self.state.others()
@@ -131,12 +138,14 @@
         shards = []
         parts = list(split_buckets((), state.tables.services))
         if state.is_ready:
-            shards = [
-                describe_shard(state, shard)
+            owned = [
+                shard
                 for shard in range(N_SHARDS)
-                if state.tables.shards[shard].owner is not None
+                if state.tables.shards[shard].owner == state.me
             ]
-            parts = list(split_buckets(known_buckets(state), state.tables.services))
+            shards = [describe_shard(state, shard) for shard in owned]
+            keys = known_buckets(state, owned)
+            parts = list(split_buckets(keys, state.tables.services))
         for number, part in enumerate(parts):
             is_first = number == 0
             reply = JoinReply(
--- a/packages/stoattray-core/src/stoattray_core/_membership.py
+++ b/packages/stoattray-core/src/stoattray_core/_membership.py
@@ -26,7 +26,8 @@
 MAX_UPDATES_PER_MESSAGE = 8
 N_HELPERS = 2
 SPREAD_FACTOR = 3
-REDISCOVERY_PERIOD = 3_000
+REDISCOVERY_PERIOD = 2_000
+N_REDISCOVERED = 4
 DEAD_RETENTION = 7_200_000
 MAX_FORGOTTEN = 64
 
@@ -230,7 +231,7 @@
         is_reborn = old is not None and old.incarnation != row.incarnation
         if is_reborn or not row.is_present:
             self._forget_ownership(row.member)
-        if is_reborn or (old is not None and not row.is_present):
+        if not row.is_present:
             self.state.requests.drop_member(row.member)
         self._announce(row)
         self.state.log("member", member=row.member, status=row.status.name)
@@ -284,14 +285,13 @@
             self._probe(row)
 
     def _probe_lost(self) -> None:
-        """Ping an address of which nobody present is known, to heal a cut."""
+        """Ping addresses at which nobody present is known, to heal a cut."""
         self._forget_dead(older_than=self.state.now - DEAD_RETENTION)
         candidates = sorted(self.lost_addresses)
-        if candidates:
-            address = self.state.random.choice(candidates)
+        n_chosen = min(N_REDISCOVERED, len(candidates))
+        for address in self.state.random.sample(candidates, n_chosen):
             ping = self._ping(self._next_sequence())
-            present = describe_member(self.state.self_row)
-            ping.updates = [present]
+            ping.updates = [describe_member(self.state.self_row)]
             self.state.send(address, ping)
 
     def _ask_helpers(self) -> None:
@@ -335,7 +335,8 @@
             if row.is_present or row.changed_at > older_than:
                 continue
             del members[row.member]
-            self.state.tables.down_by_member.pop(row.member, None)
+            self._news.pop(row.member, None)
+            self.state.tables.verdicts.pop(row.member, None)
             if len(self._forgotten) < MAX_FORGOTTEN:
                 self._forgotten.add(row.peer_address)
 
@@ -346,8 +347,8 @@
         """Return the present balancers that are silent, and drop all others."""
         rows: list[MemberRow] = []
         for member in sorted(self._suspected):
-            row = self.state.tables.members[member]
-            if row.is_present and row.suspect_since is not None:
+            row = self.state.tables.members.get(member)
+            if row is not None and row.is_present and row.suspect_since is not None:
                 rows.append(row)
             else:
                 self._suspected.discard(member)
--- a/packages/stoattray-core/src/stoattray_core/_moves.py
+++ b/packages/stoattray-core/src/stoattray_core/_moves.py
@@ -71,7 +71,8 @@
         """Begin a move of every settled bucket of a service that is owned here."""
         row = self.state.tables.services[service]
         for shard, bucket in enumerate(row.buckets):
-            if bucket is None or bucket.tracked or not self.ownership.is_owner(shard):
+            owning = self.state.owning_shard((service, shard))
+            if bucket is None or bucket.tracked or not self.ownership.is_owner(owning):
                 continue
             if (service, shard) not in self.state.tables.moves:
                 self.changes.begin(row, shard, is_planned=True)
@@ -102,17 +103,22 @@
             return
         self.ownership.newly_owned = []
         for shard in shards:
-            for service, row in self.state.tables.services.items():
-                key = (service, shard)
-                self._schedule_now(key)
-                if row.buckets[shard] is None:
-                    continue
-                self.changes.raise_epoch(key)
-                move = self.state.tables.moves.get(key)
-                if move is not None:
-                    for record in move.records.values():
-                        count_opened(self.state, row, record.server, 1)
-                    self.copies.add_all(key)
+            self.announcer.mark_claim(shard)
+            for key in self.state.owned_keys(shard):
+                self._take_bucket(key)
+
+    def _take_bucket(self, key: BucketKey) -> None:
+        self._schedule_now(key)
+        row = self.state.tables.services[key[0]]
+        if row.buckets[key[1]] is None:
+            return
+        self.changes.raise_epoch(key)
+        move = self.state.tables.moves.get(key)
+        if move is None:
+            return
+        for record in move.records.values():
+            count_opened(row, record.server, 1)
+        self.copies.add_all(key)
 
     def _take_changed_services(self) -> None:
         """Look at every owned bucket of services whose placement has changed."""
@@ -123,7 +129,8 @@
             if service not in self.state.tables.services:
                 continue
             for shard in range(N_SHARDS):
-                if self.ownership.knows_flows(shard):
+                owning = self.state.owning_shard((service, shard))
+                if self.ownership.knows_flows(owning):
                     self._schedule_now((service, shard))
         changed.clear()
 
@@ -141,9 +148,10 @@
     def _advance(self, key: BucketKey) -> Millis | None:
         """Take the next step of one bucket; return when to look again."""
         row = self.state.tables.services.get(key[0])
-        if row is None or not self.ownership.knows_flows(key[1]):
+        owning = self.state.owning_shard(key)
+        if row is None or not self.ownership.knows_flows(owning):
             return None
-        if not row.desired or not self.ownership.is_owner(key[1]):
+        if not row.desired or not self.ownership.is_owner(owning):
             return CHECK_PERIOD
         bucket = row.buckets[key[1]]
         if bucket is None:
--- a/packages/stoattray-core/src/stoattray_core/_ownership.py
+++ b/packages/stoattray-core/src/stoattray_core/_ownership.py
@@ -66,6 +66,13 @@
     claims: list[ShardState]
 
 
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    shard: int
+    member: MemberId
+    incarnation: int
+
+
 @dataclass(slots=True)
 class Ownership:
     """Keeps the acting owner of each shard in line with the live members."""
@@ -75,7 +82,7 @@
     _scanned_version: tuple[int, int] = (-1, -1)
     _ranks: list[list[MemberId]] = field(default_factory=list)
     _takeovers: dict[int, _Takeover] = field(default_factory=dict)
-    _handovers: dict[int, tuple[int, MemberId]] = field(default_factory=dict)
+    _handovers: dict[int, _Offer] = field(default_factory=dict)
     _claimed: set[int] = field(default_factory=set)
     _offered: set[int] = field(default_factory=set)
     _parts: dict[tuple[MemberId, int], _Parts] = field(default_factory=dict)
@@ -248,7 +255,7 @@
     def _start_handover(self, shard: int, epoch: int, member: MemberId) -> None:
         group = self.state.requests.next_number()
         receiver = self.state.tables.members[member]
-        self._handovers[group] = (shard, member)
+        self._handovers[group] = _Offer(shard, member, receiver.incarnation)
         self._offered.add(shard)
         keys = known_buckets(self.state, [shard])
         parts = list(split_buckets(keys, self.state.tables.services))
@@ -299,21 +306,27 @@
         self.state.send(address, Done(handover.request, True, []))
 
     def _finish_handovers(self) -> None:
-        for group, (shard, member) in list(self._handovers.items()):
+        for group, offer in list(self._handovers.items()):
             if self.state.requests.is_open(group):
                 continue
             del self._handovers[group]
-            self._offered.discard(shard)
-            receiver = self.state.tables.members.get(member)
-            row = self.state.tables.shards[shard]
+            self._offered.discard(offer.shard)
+            row = self.state.tables.shards[offer.shard]
             if row.owner != self.state.me:
                 continue
-            is_given = receiver is not None and receiver.is_present
-            claim = ShardState(shard, row.epoch + 1, member)
-            if is_given:
+            epoch = row.epoch + 1
+            if self._has_taken(offer):
+                claim = ShardState(offer.shard, epoch, offer.member)
                 apply_shards(self.state, [claim])
             else:
-                self._orphan(shard, row.epoch + 1)
+                self._orphan(offer.shard, epoch)
+
+    def _has_taken(self, offer: _Offer) -> bool:
+        """Return whether one incarnation of the receiver got every part."""
+        receiver = self.state.tables.members.get(offer.member)
+        if receiver is None or not receiver.is_present:
+            return False
+        return receiver.incarnation == offer.incarnation
 
     def _orphan(self, shard: int, epoch: int) -> None:
         """Give up a shard whose receiver died, so that it is gathered anew."""
@@ -337,10 +350,10 @@
         row.epoch = epoch
         row.owner = self.state.me
         self.state.note_owner_change(shard)
-        for service, service_row in self.state.tables.services.items():
-            bucket = service_row.buckets[shard]
+        for key in self.state.owned_keys(shard):
+            bucket = self.state.tables.services[key[0]].buckets[key[1]]
             if bucket is not None and bucket.tracked:
-                self._adopt_records((service, shard))
+                self._adopt_records(key)
         self.newly_owned.append(shard)
 
     def _adopt_records(self, key: BucketKey) -> None:
@@ -353,18 +366,18 @@
     def _known_records(self, shards: set[int]) -> list[FlowGroup]:
         flows: dict[BucketKey, dict[FlowId, ServerId]] = {}
         for key, copies in self.state.tables.copies.items():
-            if key[1] in shards:
+            if self.state.owning_shard(key) in shards:
                 flows.setdefault(key, {}).update(copies)
         for key, move in self.state.tables.moves.items():
-            if key[1] in shards:
+            if self.state.owning_shard(key) in shards:
                 known = flows.setdefault(key, {})
                 for flow, record in move.records.items():
                     known[flow] = record.server
-        for service, row in self.state.tables.services.items():
-            for shard in shards:
-                bucket = row.buckets[shard]
+        for shard in shards:
+            for key in self.state.owned_keys(shard):
+                bucket = self.state.tables.services[key[0]].buckets[key[1]]
                 if bucket is not None and bucket.hints:
-                    flows.setdefault((service, shard), {}).update(bucket.hints)
+                    flows.setdefault(key, {}).update(bucket.hints)
         groups: list[FlowGroup] = []
         for (service, shard), known in flows.items():
             groups.extend(pack_groups(service, shard, known))
--- a/packages/stoattray-core/src/stoattray_core/_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/_placement.py
@@ -1,35 +1,25 @@
-"""Choice of a backend server for a new flow.
+"""Choice of a backend server for a new flow of a service that weighs balance more.
 
-The default is the bucket's own backend server. A service that weighs balance
-more takes the less loaded of the default and one other (power of two choices,
-Mitzenmacher 2001), but only where the difference is worth a flow record.
+The owner of such a service's home shard sees every flow open and end, so it
+takes the backend server with the fewest open flows for its weight. The bucket's
+default is kept unless another one is clearly better, since only a flow away
+from the default needs a record on a second balancer.
 """
 
-from stoattray_core._identifiers import MemberId, ServerId
+from stoattray_core._identifiers import ServerId
 from stoattray_core._state import State
 from stoattray_core._tables import ServiceRow
 
 BALANCE_MARGIN = 0.02
 
 
-def open_flows(state: State, row: ServiceRow) -> dict[ServerId, int]:
-    """Return the open flows per backend server that the owners count."""
-    totals: dict[ServerId, int] = {}
-    for member, counts in row.loads.items():
-        if not _is_present(state, member):
-            continue
-        for server, count in counts.items():
-            totals[server] = totals.get(server, 0) + count
-    return totals
-
-
 def choose_server(state: State, row: ServiceRow, default: ServerId) -> ServerId:
     """Return the default or a clearly less loaded backend server.
 
     Parameters
     ----------
     state : State
-        Source of randomness.
+        Source of randomness, which decides between equals.
     row : ServiceRow
         The service; `default` accepts flows of it.
     default : ServerId
@@ -38,22 +28,17 @@
     others = sorted(row.accepting - {default})
     if not others:
         return default
-    totals = open_flows(state, row)
     weights = {item.server: item.weight for item in row.spec.servers}
-    other = state.random.choice(others)
-    default_load = totals.get(default, 0) / weights.get(default, 1)
-    other_load = (totals.get(other, 0) + 1) / weights.get(other, 1)
-    if default_load <= other_load * (1 + BALANCE_MARGIN):
-        return default
-    return other
 
+    def load_with_one_more(server: ServerId) -> float:
+        return (row.open_flows.get(server, 0) + 1) / weights.get(server, 1)
 
-def count_opened(state: State, row: ServiceRow, server: ServerId, step: int) -> None:
-    """Add `step` to this owner's own count of open flows at `server`."""
-    counts = row.loads.setdefault(state.me, {})
-    counts[server] = max(0, counts.get(server, 0) + step)
+    state.random.shuffle(others)
+    other = min(others, key=load_with_one_more)
+    limit = load_with_one_more(other) * (1 + BALANCE_MARGIN)
+    return default if load_with_one_more(default) <= limit else other
 
 
-def _is_present(state: State, member: MemberId) -> bool:
-    row = state.tables.members.get(member)
-    return row is not None and row.is_present
+def count_opened(row: ServiceRow, server: ServerId, step: int) -> None:
+    """Add `step` to the count of open flows at `server` that are followed here."""
+    row.open_flows[server] = max(0, row.open_flows.get(server, 0) + step)
--- a/packages/stoattray-core/src/stoattray_core/_placing.py
+++ b/packages/stoattray-core/src/stoattray_core/_placing.py
@@ -85,9 +85,11 @@
         if record is None:
             record = FlowRecord(bucket.base, self.state.now)
             move.records[flow] = record
-            count_opened(self.state, row, record.server, 1)
+            count_opened(row, record.server, 1)
         record.seen_at = self.state.now
-        record.is_ended |= is_ending
+        if is_ending and not record.is_ended:
+            record.is_ended = True
+            count_opened(row, record.server, -1)
         if ingress is not None:
             record.n_relayed += 1
             if record.n_relayed % self.state.settings.hint_after_packets == 0:
@@ -125,7 +127,9 @@
         if record.is_ended and record.server not in row.accepting:
             return ErrorKind.FLOW_REUSED
         record.seen_at = self.state.now
-        record.is_ended = False
+        if record.is_ended:
+            record.is_ended = False
+            count_opened(row, record.server, 1)
         if record.is_copying:
             self._hold(move.held_by_flow.setdefault(flow, []), data)
         else:
@@ -165,7 +169,7 @@
     ) -> FlowRecord:
         record = FlowRecord(server, self.state.now)
         move.records[flow] = record
-        count_opened(self.state, row, server, 1)
+        count_opened(row, server, 1)
         return record
 
     def _hold(self, held: list[bytes], data: bytes) -> None:
--- a/packages/stoattray-core/src/stoattray_core/_routing.py
+++ b/packages/stoattray-core/src/stoattray_core/_routing.py
@@ -128,12 +128,13 @@
             if server is not None:
                 self._forward(packet, row, server)
                 return
-        if self._may_decide(packet, shard):
+        owning = shard if row.home is None else row.home
+        if self._may_decide(packet, owning):
             self._decide(packet, row, shard, ingress)
-        elif self.ownership.is_changing(shard):
-            self.ownership.hold(shard, HeldPacket(packet.data, hops, ingress))
+        elif self.ownership.is_changing(owning):
+            self.ownership.hold(owning, HeldPacket(packet.data, hops, ingress))
         else:
-            self._relay(packet.data, shard, hops)
+            self._relay(packet.data, owning, hops)
 
     def _known_server(
         self, packet: Packet, row: ServiceRow, shard: int, bucket: Bucket
--- a/packages/stoattray-core/src/stoattray_core/_state.py
+++ b/packages/stoattray-core/src/stoattray_core/_state.py
@@ -1,6 +1,7 @@
 """The state that the systems of one balancer share."""
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -8,7 +9,7 @@
 from stoattray_core._identifiers import N_SHARDS, Address, MemberId, Millis, ServiceId
 from stoattray_core._requests import PendingRequests
 from stoattray_core._settings import CoreSettings
-from stoattray_core._tables import MemberRow, MemberStatus, Tables
+from stoattray_core._tables import BucketKey, MemberRow, MemberStatus, Tables
 from stoattray_core.messages import Message
 from stoattray_core.outputs import Event, Output, Reject, Send
 
@@ -41,6 +42,24 @@
         self.shards_version += 1
         self.dirty_shards.add(shard)
 
+    def owning_shard(self, key: BucketKey) -> int:
+        """Return the shard whose owner decides for a bucket."""
+        row = self.tables.services.get(key[0])
+        return key[1] if row is None or row.home is None else row.home
+
+    def owned_keys(self, shard: int) -> Iterator[BucketKey]:
+        """Yield the buckets for which a shard's owner decides."""
+        for service, row in self.tables.services.items():
+            if row.home is None:
+                yield service, shard
+            elif row.home == shard:
+                for number in range(N_SHARDS):
+                    yield service, number
+
+    def epoch_of(self, key: BucketKey) -> int:
+        """Return the epoch under which a bucket is changed."""
+        return self.tables.shards[self.owning_shard(key)].epoch
+
     @property
     def is_ready(self) -> bool:
         """Return whether this balancer may decide about flows."""
--- a/packages/stoattray-core/src/stoattray_core/_tables.py
+++ b/packages/stoattray-core/src/stoattray_core/_tables.py
@@ -96,7 +96,11 @@
 
 @dataclass(slots=True)
 class ServiceRow:
-    """A service and the placement of its flows."""
+    """A service and the placement of its flows.
+
+    A service that weighs balance more has a home shard, whose owner decides for
+    all of its buckets and so knows the open flows of every backend server.
+    """
 
     spec: ServiceSpec
     revision: int
@@ -107,8 +111,9 @@
     desired: list[ServerId] = field(default_factory=list)
     accepting: frozenset[ServerId] = frozenset()
     failed: frozenset[ServerId] = frozenset()
-    loads: dict[MemberId, dict[ServerId, int]] = field(default_factory=dict)
+    open_flows: dict[ServerId, int] = field(default_factory=dict)
     tracking_stopped_at: Millis | None = None
+    home: int | None = None
 
 
 @dataclass(slots=True)
@@ -137,6 +142,14 @@
     held: list[bytes] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class VerdictRow:
+    """Backend servers that one prober calls down."""
+
+    down: frozenset[str]
+    heard_at: Millis
+
+
 BucketKey = tuple[ServiceId, int]
 
 
@@ -156,7 +169,7 @@
     pinned_buckets: set[BucketKey] = field(default_factory=set)
     used_buckets: set[BucketKey] = field(default_factory=set)
     config_revision: int = 0
-    down_by_member: dict[MemberId, frozenset[str]] = field(default_factory=dict)
+    verdicts: dict[MemberId, VerdictRow] = field(default_factory=dict)
 
     def present_members(self) -> Iterator[MemberRow]:
         """Yield each balancer that may still forward packets."""
--- a/packages/stoattray-core/src/stoattray_core/_updates.py
+++ b/packages/stoattray-core/src/stoattray_core/_updates.py
@@ -6,7 +6,7 @@
 from stoattray_core._identifiers import Address, ServiceId
 from stoattray_core._packet import UDP
 from stoattray_core._state import State
-from stoattray_core.messages import BucketUpdate, Done, FlowGroup
+from stoattray_core.messages import BucketState, BucketUpdate, Done, FlowGroup
 
 
 @dataclass(slots=True)
@@ -19,11 +19,16 @@
         """Take in the buckets of each shard that has no later owner."""
         later = apply_shards(self.state, update.shards)
         refused = {item.shard for item in later}
-        buckets = [item for item in update.buckets if item.shard not in refused]
+        buckets = [
+            item for item in update.buckets if self._owning_shard(item) not in refused
+        ]
         used = self._used_flows(update)
         apply_buckets(self.state, buckets, update.pins)
         self.state.send(address, Done(update.request, True, later, used))
 
+    def _owning_shard(self, item: BucketState) -> int:
+        return self.state.owning_shard((ServiceId(item.service_name), item.shard))
+
     def _used_flows(self, update: BucketUpdate) -> list[FlowGroup]:
         """Return recent UDP flows of the buckets that become tracked."""
         groups: list[FlowGroup] = []
--- a/packages/stoattray-core/src/stoattray_core/core.py
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -21,7 +21,6 @@
 )
 from stoattray_core._invariants import InvariantChecks
 from stoattray_core._joining import Joining
-from stoattray_core._loads import LoadExchange
 from stoattray_core._membership import Membership
 from stoattray_core._moves import Moves
 from stoattray_core._ownership import Ownership
@@ -49,7 +48,6 @@
     Hint,
     Join,
     JoinReply,
-    Loads,
     Message,
     Ping,
     PingRequest,
@@ -138,7 +136,6 @@
         self._routing = Routing(self._state, self._ownership, self._placing)
         self._updates = BucketUpdates(self._state)
         self._health = HealthChecks(self._state)
-        self._loads = LoadExchange(self._state)
         self._invariants = InvariantChecks(self._state)
         self._leaving_since: Millis | None = None
         self._identity = identity
@@ -283,7 +280,6 @@
         self._routing.route_released()
         self._health.tick()
         self._moves.tick()
-        self._loads.tick()
         self._resend()
         self._check()
 
@@ -295,6 +291,13 @@
         """Let the owner follow each flow of a service, as in a move."""
         self._moves.track(service)
 
+    def start_over(self, reason: str) -> None:
+        """Rejoin and learn everything anew after an invariant did not hold."""
+        self._state.log("start_over", reason=reason)
+        self._state.outbox.clear()
+        if self._state.is_ready:
+            self._membership.rejoin()
+
     def leave(self) -> None:
         """Begin to leave: hand over what only this balancer knows."""
         if self._leaving_since is None:
@@ -385,8 +388,6 @@
                 self._anti_entropy.on_compare(message, sender)
             case Health():
                 self._health.on_health(message, sender)
-            case Loads():
-                self._loads.on_loads(message, sender)
 
 
 def _own_row(identity: Identity) -> MemberRow:
--- a/packages/stoattray-core/src/stoattray_core/messages.py
+++ b/packages/stoattray-core/src/stoattray_core/messages.py
@@ -50,26 +50,6 @@
     target: str
 
 
-@dataclass(slots=True)
-class LoadReport:
-    """Open flows per backend server that one owner counts.
-
-    ``counts`` holds big-endian 32-bit counts in the order in which the service
-    declares its backend servers at ``revision``.
-    """
-
-    service_name: str
-    revision: int
-    counts: bytes
-
-
-@dataclass(slots=True)
-class Loads:
-    """Counts of one owner for all services that weigh balance more."""
-
-    reports: list[LoadReport] = field(default_factory=list)
-
-
 @dataclass(slots=True)
 class ConfigPull:
     """Asks for every entry that changed after a revision."""
@@ -132,10 +112,15 @@
 
 @dataclass(slots=True)
 class Join:
-    """Announces the sender as a member and asks for the receiver's state."""
+    """Announces the sender as a member and asks for the receiver's state.
+
+    ``shards`` lists the epochs that a rejoining sender has seen, so that no
+    owner goes on under an older one.
+    """
 
     request: int
     sender: MemberState
+    shards: list[ShardState] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -279,7 +264,6 @@
     | Hint
     | Seen
     | Health
-    | Loads
     | Compare
     | Evicted
 )
--- a/packages/stoattray-standin/src/stoattray_standin/local.py
+++ b/packages/stoattray-standin/src/stoattray_standin/local.py
@@ -72,6 +72,7 @@
     stats_port: int
     telemetry: dict[str, Any] = field(default_factory=dict)
     drain_seconds: float = 2.0
+    api_settings: dict[str, Any] = field(default_factory=dict)
     balancers: dict[str, BalancerProcess] = field(default_factory=dict)
     _others: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
@@ -184,7 +185,11 @@
             "fabric_return": f"{HOST}:{self.return_port}",
             "seeds": seeds[:8],
             "keys_file": str(self.folder / "keys.json"),
-            "api": {"port": balancer.api_port, "plain_http": True},
+            "api": {
+                "port": balancer.api_port,
+                "plain_http": True,
+                **self.api_settings,
+            },
             "platform": {"url": self.platform_url},
             "telemetry": self.telemetry,
             "drain_seconds": self.drain_seconds,
--- a/packages/stoattray-standin/src/stoattray_standin/memory.py
+++ b/packages/stoattray-standin/src/stoattray_standin/memory.py
@@ -107,6 +107,7 @@
     sent_bytes: Counter[MemberId] = field(default_factory=Counter)
     broken: list[str] = field(default_factory=list)
     repeated_openings: float = 0.0
+    build_core: Callable[..., Core] = Core
     _queue: list[tuple[Millis, int, Callable[[], None]]] = field(default_factory=list)
     _order: "itertools.count[int]" = field(default_factory=itertools.count)
     _n_flows: int = 0
@@ -132,7 +133,7 @@
         seeds = tuple(
             (other, PEER_PORT) for other in self.cores if other != member
         ) or ((name, PEER_PORT),)
-        core = Core(
+        core = self.build_core(
             identity,
             seeds=seeds,
             settings=self.settings,
--- /dev/null
+++ b/tests/balancer/test_process.py
@@ -0,0 +1,205 @@
+"""Real processes on loopback: API, command line, signals and outages."""
+
+import contextlib
+import hashlib
+import io
+import json
+import os
+import signal
+import socket
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import requests
+
+from stoattray_core import ErrorKind, StoattrayError
+from stoattray_operator.client import Access, Client
+from stoattray_operator.main import main as stoattrayctl
+from stoattray_standin.local import local_system
+from tests.builders import aula_core, lookup
+
+
+def declare(client, model, revision=0):
+    """Declare a service and return its revision."""
+    document = model.model_dump(mode="json")
+    return int(client.put_service(document, revision)["revision"])
+
+
+class SystemTest(unittest.TestCase):
+    """Two balancers and a platform."""
+
+    def setUp(self):
+        self.system = self.enterContext(local_system(drain_seconds=0.5))
+        self.system.start_platform()
+
+    def start(self, *names):
+        for name in names:
+            self.system.plan_balancer(name)
+        for name in names:
+            self.system.start_balancer(name)
+        self.system.wait_ready(list(names))
+
+    def client(self, name="b1", token=None):
+        return Client(Access(self.system.balancers[name].api_url, token))
+
+    def wait_revision(self, name, revision):
+        deadline = time.monotonic() + 15
+        while self.client(name).status()["revision"] < revision:
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.05)
+
+    def test_declare_conflict_and_in_force(self):
+        self.start("b1", "b2")
+        client = self.client()
+        revision = declare(client, lookup())
+        report = self.client("b2").status(revision, 10.0)
+        self.assertTrue(report["in_force"])
+        self.assertEqual(report["have"], ["b1", "b2"])
+        with self.assertRaises(StoattrayError) as caught:
+            declare(client, lookup())
+        self.assertEqual(caught.exception.kind, ErrorKind.CONFLICT)
+        self.assertIn(f"the current one is {revision}", caught.exception.reason)
+
+    def test_address_of_another_service_is_refused(self):
+        self.start("b1")
+        declare(self.client(), lookup())
+        with self.assertRaises(StoattrayError) as caught:
+            declare(self.client(), aula_core(address=lookup().spec.address))
+        self.assertEqual(caught.exception.kind, ErrorKind.CONFLICT)
+
+    def test_policy_is_fixed(self):
+        self.start("b1")
+        revision = declare(self.client(), lookup())
+        with self.assertRaises(StoattrayError) as caught:
+            declare(self.client(), lookup(policy="balance"), revision)
+        self.assertEqual(caught.exception.kind, ErrorKind.INVALID_ARGUMENT)
+
+    def test_bad_requests(self):
+        self.start("b1")
+        url = self.system.balancers["b1"].api_url
+        path = url + "/v1/organisations/tanglaw/services/lookup"
+        cases = (
+            ("PUT", path, b"{", 400),
+            ("PUT", path, b" " * 2_000_000, 413),
+            ("GET", path, b"", 404),
+            ("GET", url + "/v1/nothing", b"", 404),
+            ("DELETE", path, b"", 400),
+            ("GET", url + "/v1/status?revision=x", b"", 400),
+        )
+        for method, target, body, status in cases:
+            with self.subTest(method=method, target=target):
+                answer = requests.request(method, target, data=body, timeout=10)
+                self.assertEqual(answer.status_code, status)
+                self.assertIn("reason", answer.json()["error"])
+
+    def test_command_line(self):
+        self.start("b1")
+        server = ["--server", self.system.balancers["b1"].api_url]
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "services.json"
+            models = [lookup(), aula_core()]
+            path.write_text(json.dumps([m.model_dump(mode="json") for m in models]))
+            apply = [*server, "apply", "-f", str(path)]
+            self.assertIn("would change", self.run_command([*apply, "--dry-run"]))
+            self.assertIn("created", self.run_command(apply))
+            self.assertIn("unchanged", self.run_command(apply))
+        self.assertIn("tanglaw/lookup", self.run_command([*server, "get", "tanglaw"]))
+        drain = [*server, "drain", "tanglaw/lookup", "lookup-1"]
+        self.assertIn("draining", self.run_command(drain))
+        describe = [*server, "describe", "tanglaw/lookup"]
+        self.assertIn("draining", self.run_command(describe))
+        status = [*server, "status", "-o", "json"]
+        self.assertIn('"in_force": true', self.run_command(status))
+        self.run_command([*server, "delete", "tanglaw/lookup"])
+        self.run_command([*server, "get", "tanglaw/lookup"], status=3)
+        wait = [*server, "wait", "--for", "in-force", "--revision", "99"]
+        self.run_command([*wait, "--timeout", "0.3"], status=8)
+        self.run_command([*server, "apply", "-f", "/nowhere"], status=2)
+
+    def run_command(self, arguments, status=0):
+        output = io.StringIO()
+        errors = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+            ended = stoattrayctl(arguments)
+        self.assertEqual(ended, status, errors.getvalue())
+        return output.getvalue()
+
+    def test_platform_outage(self):
+        self.start("b1", "b2")
+        revision = declare(self.client(), lookup())
+        self.wait_revision("b2", revision)
+        self.system.set_faults(down=True)
+        with self.assertRaises(StoattrayError) as caught:
+            declare(self.client(), aula_core())
+        self.assertEqual(caught.exception.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+        self.system.plan_balancer("b3")
+        self.system.start_balancer("b3")
+        self.system.wait_ready(["b3"])
+        self.wait_revision("b3", revision)
+        self.system.set_faults()
+        later = declare(self.client("b3"), aula_core())
+        self.assertTrue(self.client("b3").status(later, 20.0)["in_force"])
+
+    def test_signals(self):
+        self.start("b1", "b2")
+        self.system.signal_balancer("b2", signal.SIGTERM)
+        self.assertEqual(self.system.wait_exit("b2"), 0)
+        self.assertIn("event=stopped", self.system.log_text("b2"))
+        self.system.signal_balancer("b1", signal.SIGTERM)
+        time.sleep(0.1)
+        self.system.signal_balancer("b1", signal.SIGTERM)
+        self.assertEqual(self.system.wait_exit("b1"), 143)
+
+    def test_foreign_datagrams(self):
+        self.start("b1")
+        balancer = self.system.balancers["b1"]
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with sender:
+            for port in (
+                balancer.fabric_port,
+                balancer.relay_port,
+                balancer.peer_port,
+            ):
+                for size in (0, 1, 19, 40, 1_400, 60_000):
+                    sender.sendto(os.urandom(size), ("127.0.0.1", port))
+        time.sleep(0.5)
+        counters = balancer.counters()
+        self.assertGreater(counters["packet_truncated"], 0)
+        self.assertGreater(counters["message_malformed"], 0)
+        self.assertTrue(balancer.is_ready())
+        self.assertNotIn("Traceback", self.system.log_text("b1"))
+
+    def test_tokens_and_reload(self):
+        balancer = self.system.plan_balancer("b1")
+        tokens = self.system.folder / "tokens.json"
+        self.write_tokens(tokens, tanglaw="t-secret", ferreyra="f-secret")
+        self.system.api_settings = {"tokens_file": str(tokens)}
+        self.system.start_balancer("b1")
+        self.system.wait_ready(["b1"])
+        revision = declare(self.client(token="t-secret"), lookup())
+        for token, kind in (
+            (None, ErrorKind.UNAUTHENTICATED),
+            ("wrong", ErrorKind.UNAUTHENTICATED),
+            ("f-secret", ErrorKind.NOT_FOUND),
+        ):
+            with self.subTest(token), self.assertRaises(StoattrayError) as caught:
+                self.client(token=token).get_service("tanglaw", "lookup")
+            self.assertEqual(caught.exception.kind, kind)
+        with self.assertRaises(StoattrayError):
+            declare(self.client(token="f-secret"), lookup(), revision)
+        self.write_tokens(tokens, tanglaw="new-secret")
+        balancer.process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        self.client(token="new-secret").get_service("tanglaw", "lookup")
+
+    def write_tokens(self, path, **secrets):
+        rows = [
+            {
+                "organisation": organisation,
+                "token_sha256": hashlib.sha256(secret.encode()).hexdigest(),
+            }
+            for organisation, secret in secrets.items()
+        ]
+        path.write_text(json.dumps(rows))
--- /dev/null
+++ b/tests/balancer/test_sealing.py
@@ -0,0 +1,78 @@
+"""Strangers' messages change nothing; keys rotate; repeats are noticed."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from stoattray_balancer._sealing import Keyring, PeerKey, ReplayFilter, load_keys
+from stoattray_core import ErrorKind, StoattrayError
+from tests.builders import key_file_text, secret
+
+
+def keyring(*ids):
+    """Return a keyring with one key per id."""
+    return Keyring([PeerKey(id=number, secret=secret(number)) for number in ids])
+
+
+class KeyringTest(unittest.TestCase):
+    """Sealing and opening."""
+
+    def test_opens_its_own(self):
+        self.assertEqual(keyring(1).open(keyring(1).seal(b"text")), b"text")
+
+    def test_rotation(self):
+        old, both, new = keyring(1), keyring(2, 1), keyring(2)
+        self.assertEqual(both.open(old.seal(b"a")), b"a")
+        self.assertEqual(new.open(both.seal(b"b")), b"b")
+        self.assertEqual(new.open(old.seal(b"c")).kind, ErrorKind.MESSAGE_NOT_AUTHENTIC)
+
+    def test_every_changed_byte_is_noticed(self):
+        ring = keyring(1)
+        sealed = ring.seal(b"text")
+        for position in range(len(sealed)):
+            changed = bytearray(sealed)
+            changed[position] ^= 1
+            self.assertFalse(ring.open(bytes(changed)))
+
+    def test_short_input(self):
+        self.assertEqual(keyring(1).open(b"x").kind, ErrorKind.MESSAGE_MALFORMED)
+
+
+class ReplayFilterTest(unittest.TestCase):
+    """Each number of a sender counts once."""
+
+    def test_repeats_and_order(self):
+        replays = ReplayFilter()
+        accepted = [replays.accept(1, number) for number in (5, 3, 5, 4, 3)]
+        self.assertEqual(accepted, [True, True, False, True, False])
+
+    def test_older_incarnation(self):
+        replays = ReplayFilter()
+        self.assertTrue(replays.accept(2, 1))
+        self.assertFalse(replays.accept(1, 99))
+        self.assertTrue(replays.accept(3, 1))
+
+    def test_below_the_window(self):
+        replays = ReplayFilter()
+        self.assertTrue(replays.accept(1, 10_000))
+        self.assertFalse(replays.accept(1, 5))
+
+
+class KeyFileTest(unittest.TestCase):
+    """Bad files give one line that shows no secret."""
+
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "keys.json"
+            path.write_text(text)
+            return load_keys(path)
+
+    def test_good(self):
+        self.assertEqual([key.id for key in self.load(key_file_text(2, 1))], [2, 1])
+
+    def test_bad(self):
+        for text in ("[]", "{", key_file_text(1, 1), '[{"id": 1, "secret": "abcd"}]'):
+            with self.subTest(text), self.assertRaises(StoattrayError) as caught:
+                self.load(text)
+            self.assertNotIn("abcd", str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
--- /dev/null
+++ b/tests/core/test_health.py
@@ -0,0 +1,79 @@
+"""Verdicts about backend servers need a majority and do not outlive their prober."""
+
+import unittest
+
+from stoattray_core.messages import Health
+from tests.builders import load, lookup, network
+
+DEAD = "lookup-1@10.0.0.1:9000"
+
+
+class VerdictTest(unittest.TestCase):
+    """A single prober is outvoted; a lost last word does no lasting harm."""
+
+    def failed(self, core):
+        return core.tables.services["tanglaw/lookup"].failed
+
+    def test_one_prober_is_outvoted(self):
+        net = network(1, lookup())
+        core = net.cores["b1"]
+        core.on_message(Health([DEAD]), "b2", ("b2", 7000))
+        net.run(200)
+        self.assertEqual(self.failed(core), frozenset())
+
+    def test_two_probers_are_believed_until_they_fall_silent(self):
+        net = network(2, lookup())
+        core = net.cores["b1"]
+        for prober in ("b2", "b3"):
+            core.on_message(Health([DEAD]), prober, (prober, 7000))
+        net.run(200)
+        self.assertEqual(self.failed(core), frozenset({DEAD}))
+        net.run(8_000)
+        self.assertEqual(self.failed(core), frozenset())
+
+    def test_all_servers_down_keeps_the_last_good_state(self):
+        net = network(3, lookup())
+        core = net.cores["b1"]
+        servers = [f"lookup-{number}@10.0.0.{number}:9000" for number in range(1, 8)]
+        for prober in ("b2", "b3"):
+            core.on_message(Health(servers), prober, (prober, 7000))
+        net.run(200)
+        row = core.tables.services["tanglaw/lookup"]
+        self.assertEqual(len(row.accepting), 7)
+
+    def test_flows_of_a_dead_server_are_reset_and_new_ones_open_elsewhere(self):
+        net = network(4, lookup())
+        load(net, lookup(), 2_000)
+        net.kill_server(("10.0.0.1", 9000))
+        died_at = net.now
+        for _ in range(8):
+            net.probe_servers()
+            load(net, lookup(), 1_000)
+        net.run(20_000)
+        self.assertEqual(net.stats["content_at_two_servers"], 0)
+        late = [
+            flow
+            for flow in net.flows.values()
+            if flow.opened_at > died_at + 6_000 and flow.state != "done"
+        ]
+        self.assertEqual(late, [])
+
+
+class ProberChangeTest(unittest.TestCase):
+    """A verdict ends when another balancer becomes the prober."""
+
+    def test_verdict_of_a_former_prober_is_dropped(self):
+        net = network(5, lookup())
+        core = net.cores["b1"]
+        target = core.probe_targets()[0][0]
+        for _ in range(3):
+            core.on_probe_result(target, False)
+        net.run(200)
+        self.assertIn(target, core.tables.verdicts["b1"].down)
+        core._health._targets = []
+        core._health._targets_version = (
+            core._state.membership_version,
+            core.config_revision,
+        )
+        net.run(200)
+        self.assertEqual(core.tables.verdicts["b1"].down, frozenset())
--- /dev/null
+++ b/tests/core/test_ownership.py
@@ -0,0 +1,87 @@
+"""Shards change hands without two deciding and without one being forgotten."""
+
+import unittest
+from collections import Counter
+
+from stoattray_core._buckets import apply_shards
+from stoattray_core.messages import ShardState
+from tests.builders import BALANCERS, aula_core, load, lookup, network
+
+
+def owners(net):
+    """Return the set of owner tables over all cores."""
+    return {
+        tuple((row.epoch, row.owner) for row in core.tables.shards)
+        for core in net.cores.values()
+    }
+
+
+class OwnershipTest(unittest.TestCase):
+    """What balancers agree on after each change."""
+
+    def test_all_agree_and_share(self):
+        net = network(1, lookup())
+        self.assertEqual(len(owners(net)), 1)
+        shares = Counter(row.owner for row in net.cores["b1"].tables.shards)
+        self.assertEqual(set(shares), set(BALANCERS))
+
+    def test_a_claim_that_was_given_up_is_outdone(self):
+        net = network(2, lookup())
+        core = net.cores["b1"]
+        shard = next(
+            index for index, row in enumerate(core.tables.shards) if row.owner != "b1"
+        )
+        apply_shards(core._state, [ShardState(shard, 40, "b1")])
+        self.assertEqual(core.tables.shards[shard].epoch, 41)
+        self.assertIsNone(core.tables.shards[shard].owner)
+        net.run(10_000)
+        self.assertEqual(len(owners(net)), 1)
+        self.assertGreater(core.tables.shards[shard].epoch, 41)
+
+    def test_receiver_that_rejoins_during_a_handover(self):
+        for pause_at in range(0, 400, 40):
+            with self.subTest(pause_at):
+                net = network(3, lookup(), balancers=BALANCERS[:4])
+                net.start("b5")
+                net.run(200 + pause_at)
+                net.pause("b5")
+                net.run(1_400)
+                net.resume("b5")
+                net.run(9_000)
+                self.assertEqual(len(owners(net)), 1)
+
+    def test_cut_off_balancer_rejoins_the_larger_side(self):
+        net = network(4, lookup())
+        for other in BALANCERS[1:]:
+            net.cut("b1", other)
+        net.run(8_000)
+        before = {
+            name: net.cores[name].tables.members[name].incarnation for name in BALANCERS
+        }
+        net.heal()
+        net.run(12_000)
+        self.assertEqual(len(owners(net)), 1)
+        for name in BALANCERS:
+            core = net.cores[name]
+            changed = core.tables.members[name].incarnation != before[name]
+            self.assertEqual(changed, name == "b1", name)
+
+    def test_home_shard_decides_for_a_whole_balance_service(self):
+        net = network(5, aula_core())
+        load(net, aula_core(), 1_000)
+        deciders = [name for name, core in net.cores.items() if any(core.tables.moves)]
+        self.assertEqual(len(deciders), 1)
+
+
+class BalanceTest(unittest.TestCase):
+    """The balance policy spreads few flows evenly."""
+
+    def test_open_flows_differ_by_little(self):
+        net = network(6, aula_core())
+        for _ in range(70):
+            net.open_flow(aula_core(), n_packets=200, interval=100)
+            net.run(20)
+        net.run(2_000)
+        counts = net.open_counts(aula_core()).values()
+        self.assertEqual(sum(counts), 70)
+        self.assertLessEqual(max(counts) - min(counts), 2)
