verdicts of a rejoining balancer are forgotten; open flows are reset after 5 s

Change: rejoining forgets verdicts; withdrawals are repeated; a flow is reset only after its server has counted as dead for 5 s.

--- a/packages/stoattray-balancer/src/stoattray_balancer/_telemetry.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_telemetry.py
@@ -61,11 +61,21 @@
         Name of this balancer.
     core : Core
         Source of counters.
+    exporters : tuple of SpanExporter and MetricExporter, optional
+        In place of those that the settings choose.
     """
 
-    def __init__(self, settings: TelemetrySettings, member: str, core: Core) -> None:
+    def __init__(
+        self,
+        settings: TelemetrySettings,
+        member: str,
+        core: Core,
+        *,
+        exporters: tuple[SpanExporter, MetricExporter] | None = None,
+    ) -> None:
         self._core = core
         self._settings = settings
+        self._given_exporters = exporters
         self.is_tracing = settings.exporter is not TraceExporter.NONE
         attributes = {"service.name": "stoattray", "service.instance.id": member}
         resource = Resource.create(attributes)
@@ -116,6 +126,8 @@
         )
 
     def _exporters(self) -> tuple[SpanExporter, MetricExporter]:
+        if self._given_exporters is not None:
+            return self._given_exporters
         if self._settings.exporter is TraceExporter.CONSOLE:
             return ConsoleSpanExporter(), ConsoleMetricExporter()
         base = self._settings.otlp_url or "http://127.0.0.1:4318"
--- a/packages/stoattray-core/src/stoattray_core/_health.py
+++ b/packages/stoattray-core/src/stoattray_core/_health.py
@@ -21,6 +21,7 @@
 SPREAD_PERIOD = 2_000
 CHECK_PERIOD = 100
 VERDICT_LIFETIME = 7_000
+N_REPEATS = 4
 
 
 @dataclass(slots=True)
@@ -40,6 +41,7 @@
     _targets: list[tuple[ServerId, Address]] = field(default_factory=list)
     _sent_at: Millis = 0
     _sent: frozenset[str] = frozenset()
+    _n_repeats: int = 0
     _in_force: frozenset[ServerId] = frozenset()
 
     def targets(self) -> list[tuple[ServerId, Address]]:
@@ -107,14 +109,21 @@
         self._note(self.state.me, down)
         self._forget_old_verdicts()
         is_due = self.state.now - self._sent_at >= SPREAD_PERIOD
-        if down != self._sent or (is_due and down):
+        if down != self._sent:
+            self._n_repeats = N_REPEATS
+        if down != self._sent or (is_due and (down or self._n_repeats)):
             self._sent = down
             self._sent_at = self.state.now
+            self._n_repeats = max(0, self._n_repeats - 1)
             for row in self.state.others():
                 self.state.send(row.peer_address, Health(sorted(down)))
         failed = failed_servers(self.state)
         if failed != self._in_force:
             self._in_force = failed
+            since = self.state.tables.failed_since
+            self.state.tables.failed_since = {
+                server: since.get(server, self.state.now) for server in failed
+            }
             self.state.log("failed_servers", servers=",".join(sorted(failed)))
             for row in self.state.tables.services.values():
                 refresh_desired(self.state, row)
--- a/packages/stoattray-core/src/stoattray_core/_membership.py
+++ b/packages/stoattray-core/src/stoattray_core/_membership.py
@@ -175,6 +175,7 @@
         row.status = MemberStatus.JOINING
         self._probes.clear()
         self._forget_dead(older_than=self.state.now)
+        self.state.tables.verdicts.clear()
         for shard, owned in enumerate(self.state.tables.shards):
             if owned.owner == self.state.me:
                 owned.owner = None
--- a/packages/stoattray-core/src/stoattray_core/_routing.py
+++ b/packages/stoattray-core/src/stoattray_core/_routing.py
@@ -206,11 +206,20 @@
         return packet.flow not in move.records
 
     def _forward(self, packet: Packet, row: ServiceRow, server: ServerId) -> None:
-        if server in row.failed:
+        if server in row.failed and not packet.opening and self._is_surely_dead(server):
             self.state.refuse(ErrorKind.BACKEND_SERVER_DEAD, packet.data)
             return
         self.state.emit(Forward(server_address(server), packet.data))
 
+    def _is_surely_dead(self, server: ServerId) -> bool:
+        """Return whether the verdict stands for long enough to end open flows.
+
+        A balancer may hold a verdict that has just been withdrawn; a wrong reset
+        would break a living flow.
+        """
+        since = self.state.tables.failed_since.get(server, self.state.now)
+        return self.state.now - since >= self.state.settings.reset_delay
+
     def _relay(self, data: bytes, shard: int, hops: int) -> None:
         if hops >= self.state.settings.max_hops:
             self.state.refuse(ErrorKind.HOP_LIMIT, data)
--- a/packages/stoattray-core/src/stoattray_core/_settings.py
+++ b/packages/stoattray-core/src/stoattray_core/_settings.py
@@ -37,6 +37,9 @@
         Flows of one bucket that may be pinned when it settles.
     max_hops : int
         Balancers that one packet may pass.
+    reset_delay : Millis
+        Time for which a backend server counts as dead before its open flows are
+        reset.
     leave_grace : Millis
         Time for which a leaving balancer goes on forwarding.
     """
@@ -53,4 +56,5 @@
     max_held_packets: int = 64
     max_pins: int = 8_000
     max_hops: int = 3
+    reset_delay: Millis = 5_000
     leave_grace: Millis = 2_000
--- a/packages/stoattray-core/src/stoattray_core/_tables.py
+++ b/packages/stoattray-core/src/stoattray_core/_tables.py
@@ -169,6 +169,7 @@
     pinned_buckets: set[BucketKey] = field(default_factory=set)
     used_buckets: set[BucketKey] = field(default_factory=set)
     config_revision: int = 0
+    failed_since: dict[ServerId, Millis] = field(default_factory=dict)
     verdicts: dict[MemberId, VerdictRow] = field(default_factory=dict)
 
     def present_members(self) -> Iterator[MemberRow]:
