a balancer that was alone yields when it meets the others

Change: a balancer that is alone and meets a live one rejoins; a rejoining one lets any other state go before its own; who holds an old incarnation for dead is told of the new one.

--- a/packages/stoattray-core/src/stoattray_core/_buckets.py
+++ b/packages/stoattray-core/src/stoattray_core/_buckets.py
@@ -159,6 +159,18 @@
         release_shard(state, claim.shard)
 
 
+def demote_buckets(state: State) -> None:
+    """Let any other balancer's state go before what is known here.
+
+    What is known stays in case nobody else knows anything.
+    """
+    for row in state.tables.services.values():
+        for bucket in row.buckets:
+            if bucket is not None:
+                bucket.epoch = 0
+    state.dirty_shards.update(range(N_SHARDS))
+
+
 def release_shard(state: State, shard: int) -> None:
     """Turn the owner's records of a shard into copies."""
     moves = state.tables.moves
--- a/packages/stoattray-core/src/stoattray_core/_membership.py
+++ b/packages/stoattray-core/src/stoattray_core/_membership.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from stoattray_core._buckets import release_shard
+from stoattray_core._buckets import demote_buckets, release_shard
 from stoattray_core._identifiers import Address, MemberId, Millis
 from stoattray_core._state import State
 from stoattray_core._tables import MemberRow, MemberStatus
@@ -110,13 +110,17 @@
         self.state.send(address, Evicted(row.incarnation, self._n_present()))
         return False
 
-    def on_evicted(self, evicted: Evicted, sender: MemberId) -> None:
+    def on_evicted(self, evicted: Evicted, sender: MemberId, address: Address) -> None:
         """Rejoin if the sender is right to hold this balancer for dead.
 
-        If each holds the other for dead, the smaller side rejoins.
+        If each holds the other for dead, the smaller side rejoins. A sender that
+        knows only an older incarnation is told of this one.
         """
         row = self.state.self_row
-        if evicted.incarnation < row.incarnation or not row.is_present:
+        if not row.is_present:
+            return
+        if evicted.incarnation < row.incarnation:
+            self._introduce(address)
             return
         other = self.state.tables.members.get(sender)
         if other is not None and not other.is_present:
@@ -144,7 +148,11 @@
             self.merge_one(update)
 
     def merge_one(self, update: MemberState) -> bool:
-        """Take in one member's state; return whether it is news."""
+        """Take in one member's state; return whether it is news.
+
+        A balancer that is alone and meets a live one that did not join it joins
+        the other, since its own state is that of a smaller side.
+        """
         member = MemberId(update.member)
         if member == self.state.me:
             self._merge_self(update)
@@ -156,7 +164,11 @@
         if row is not None and order <= (row.incarnation, row.status):
             row.config_revision = max(row.config_revision, update.config_revision)
             return False
+        is_meeting = row is None and update.status == MemberStatus.LIVE
+        was_alone = self.state.is_ready and not self.state.others()
         self._install(update, row)
+        if is_meeting and was_alone:
+            self.rejoin()
         return True
 
     def set_own_status(self, status: MemberStatus) -> None:
@@ -176,6 +188,7 @@
         self._probes.clear()
         self._forget_dead(older_than=self.state.now)
         self.state.tables.verdicts.clear()
+        demote_buckets(self.state)
         for shard, owned in enumerate(self.state.tables.shards):
             if owned.owner == self.state.me:
                 owned.owner = None
@@ -291,9 +304,13 @@
         candidates = sorted(self.lost_addresses)
         n_chosen = min(N_REDISCOVERED, len(candidates))
         for address in self.state.random.sample(candidates, n_chosen):
-            ping = self._ping(self._next_sequence())
-            ping.updates = [describe_member(self.state.self_row)]
-            self.state.send(address, ping)
+            self._introduce(address)
+
+    def _introduce(self, address: Address) -> None:
+        """Ping an address with nothing but this balancer's own state."""
+        ping = self._ping(self._next_sequence())
+        ping.updates = [describe_member(self.state.self_row)]
+        self.state.send(address, ping)
 
     def _ask_helpers(self) -> None:
         now = self.state.now
--- a/packages/stoattray-core/src/stoattray_core/core.py
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -388,7 +388,7 @@
             case Seen():
                 self._use.on_seen(message)
             case Evicted():
-                self._membership.on_evicted(message, sender)
+                self._membership.on_evicted(message, sender, address)
             case Compare():
                 self._anti_entropy.on_compare(message, sender)
             case Health():
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -85,3 +85,30 @@
         counts = net.open_counts(aula_core()).values()
         self.assertEqual(sum(counts), 70)
         self.assertLessEqual(max(counts) - min(counts), 2)
+
+
+class IslandTest(unittest.TestCase):
+    """A balancer that went on alone yields to the others when it meets them."""
+
+    def test_island_that_rejoined_while_alone(self):
+        net = network(7, lookup())
+        for other in BALANCERS[1:]:
+            net.cut("b1", other)
+        net.run(5_000)
+        net.pause("b1")
+        net.run(3_000)
+        net.resume("b1")
+        net.declare(lookup(draining=frozenset({"lookup-1"})))
+        net.run(8_000)
+        self.assertTrue(net.cores["b1"].is_ready)
+        net.heal()
+        net.run(12_000)
+        self.assertEqual(len(owners(net)), 1)
+        buckets = [
+            [
+                (bucket.order, bucket.base)
+                for bucket in core.tables.services["tanglaw/lookup"].buckets
+            ]
+            for core in net.cores.values()
+        ]
+        self.assertTrue(all(row == buckets[0] for row in buckets))
