stand-in addresses on loopback; capacity counts probes

Cause: the addresses of stand-in services were 10.0.0.x, and since they carry a health port, real balancer processes in tests and in the control benchmark tried to connect there. Traffic has to stay on loopback.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -29,6 +30,11 @@
 PLATFORM_WRITES = 300
 CALLS_PER_CHANGE = 3
 IDLE_LIMIT_SECONDS = 300
+REST_TICKS_PER_SECOND = 10
+N_PROBERS = 3
+TODAY_HOSTS = 21
+TODAY_NODES = 4
+PROBE_SECONDS = 2.0
 
 LIMIT_PROCESSOR = 1.1
 LIMIT_MEMORY = 256.0
@@ -51,6 +57,12 @@
         """Return one figure; a missing one is an error, never a guess."""
         return self._values[name]
 
+    def largest_members(self) -> int:
+        """Return the most balancers that ran as cores in one process."""
+        pattern = re.compile(r"cores_(\d+)_members_death_sent")
+        matches = (pattern.fullmatch(name) for name in self._values)
+        return max(int(match.group(1)) for match in matches if match)
+
     def slope(self, first: str, last: str, distance: float) -> float:
         """Return the growth per unit between two figures."""
         return (self[last] - self[first]) / distance
@@ -73,17 +85,20 @@
     per_service = figures.slope(
         "cores_4_services_memory", "cores_244_services_memory", 240
     )
-    tick_share = figures["cores_244_services_rest_processor"]
-    rest_bytes = figures["cores_233_members_rest_sent"]
-    process_rest = figures["control_4_balancers_rest_processor"]
-    core_rest = figures["cores_4_services_rest_processor"]
+    tick_share = figures["cores_244_services_tick"] * REST_TICKS_PER_SECOND / 1e4
+    probes = N_HOSTS / N_DATA_CENTRES * N_PROBERS / PROBE_SECONDS / GROUP_NODES
+    probe_share = probes * figures["probe_processor"] / 10
+    largest = figures.largest_members()
+    rest_bytes = figures[f"cores_{largest}_members_rest_sent"]
     member_share = figures.slope(
-        "cores_8_members_rest_processor", "cores_233_members_rest_processor", 225
+        "cores_8_members_rest_processor",
+        f"cores_{largest}_members_rest_processor",
+        largest - 8,
     )
     entry = figures["core_entry_size"]
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY
     change_processor = figures["core_change_processor"] / 1_000 * changes * 100
-    drains = changes * figures["cores_233_members_drain_sent"]
+    drains = changes * figures[f"cores_{largest}_members_drain_sent"]
     deaths = FAILURES_PER_DAY / N_DATA_CENTRES
     joins = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / N_DATA_CENTRES
     join_bytes = GROUP_SERVICES * N_SHARDS * BUCKET_BYTES
@@ -91,13 +106,21 @@
     member_bytes = joins * 4 * figures["message_member"] * 24 / SECONDS_PER_DAY
     return [
         Row(
-            "process, libraries and sockets",
+            "process, libraries, platform reads; today's size less the lines below",
             "none",
             0.0,
-            max(0.0, process_rest - core_rest),
+            _process_share(figures),
             figures["control_4_balancers_memory"],
             "control.py processes",
         ),
+        Row(
+            f"health: {probes:.1f} probes a second",
+            f"{N_HOSTS // N_DATA_CENTRES} hosts, 3 probers each",
+            0.0,
+            probe_share,
+            0.1,
+            "control.py cores, probe_processor",
+        ),
         Row(
             "bucket tables of 244 services (each tick looks at what is due)",
             f"{GROUP_SERVICES} x {N_SHARDS} buckets",
@@ -112,7 +135,7 @@
             rest_bytes,
             member_share * GROUP_NODES,
             GROUP_NODES * 0.001,
-            "control.py cores, 233 members",
+            f"control.py cores, slope from 8 to {largest} members",
         ),
         Row(
             "configuration: push to 4, deltas",
@@ -128,7 +151,7 @@
             drains,
             0.0,
             _record_megabytes(figures),
-            "control.py cores, drain_sent at 233 members",
+            f"control.py cores, drain_sent at {largest} members",
         ),
         Row(
             f"joins: {joins:.0f} a day and group, each owner sends its buckets",
@@ -149,6 +172,14 @@
     ]
 
 
+def _process_share(figures: Figures) -> float:
+    """Return what a process takes at today's size beside probes and tables."""
+    whole = figures["control_4_balancers_rest_processor"]
+    probes = TODAY_HOSTS * N_PROBERS / PROBE_SECONDS / TODAY_NODES
+    tables = figures["cores_4_services_tick"] * REST_TICKS_PER_SECOND / 1e4
+    return whole - probes * figures["probe_processor"] / 10 - tables
+
+
 def _record_megabytes(figures: Figures) -> float:
     """Return memory for flows that open within an idle limit in one moving ninth."""
     new_per_node = NEW_FLOWS_PER_SECOND / N_NODES
@@ -177,6 +208,7 @@
     total_bytes = sum(row.messages for row in rows)
     total_processor = sum(row.processor for row in rows)
     total_memory = sum(row.memory for row in rows)
+    largest = figures.largest_members()
     lines = [
         "# Capacity",
         "",
@@ -241,12 +273,14 @@
         "| --- | --- | --- | --- |",
         f"| change in force on all, from acceptance | "
         f"{figures['control_4_balancers_in_force_max']:.2f} s at most of 20 | "
-        f"{figures['cores_233_members_in_force']:.2f} s with 233 cores in memory, "
+        f"{figures[f'cores_{largest}_members_in_force']:.2f} s with {largest} cores "
+        "in memory, "
         f"{figures['control_32_balancers_in_force_max']:.2f} s with 32 processes | "
         f"{LIMIT_IN_FORCE:.0f} s |",
         "| a death known on all | "
         f"{figures['control_4_balancers_death_known']:.1f} s | "
-        f"{figures['cores_233_members_death_known']:.1f} s with 233 cores in memory, "
+        f"{figures[f'cores_{largest}_members_death_known']:.1f} s with {largest} "
+        "cores in memory, "
         f"{figures['control_32_balancers_death_known']:.1f} s with 32 processes | "
         f"{LIMIT_IN_FORCE:.0f} s |",
         "",
@@ -279,7 +313,8 @@
 def _breaks(figures: Figures) -> list[str]:
     nodes_per_shard = GROUP_NODES / N_SHARDS
     join_seconds = GROUP_SERVICES * N_SHARDS * BUCKET_BYTES / LIMIT_BYTES
-    burst = figures["cores_233_members_drain_sent"] * 100 / 60
+    largest = figures.largest_members()
+    burst = figures[f"cores_{largest}_members_drain_sent"] * 100 / 60
     return [
         f"* **Joins.** A joining node is sent all buckets, "
         f"{GROUP_SERVICES * N_SHARDS * BUCKET_BYTES / 1e3:.0f} kB; at the limit of "
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -8,6 +8,7 @@
 import argparse
 import gc
 import signal
+import socket
 import statistics
 import time
 import tracemalloc
@@ -17,6 +18,7 @@
 
 import psutil
 
+from stoattray_balancer._probes import Prober
 from stoattray_balancer.wire import message_size
 from stoattray_core import Core, CoreSettings, Identity, MemberId
 from stoattray_core.configuration import ConfigEntry
@@ -29,6 +31,7 @@
 SEAL_BYTES = 30
 REST_SECONDS = 20.0
 N_CHANGES = 20
+N_PROBES = 500
 N_DATA_CENTRES = 3
 TICK_MILLIS = 20
 SETTLE_MILLIS = 60_000
@@ -297,18 +300,32 @@
     show("core_entry_size", len(model.model_dump_json()), "bytes/service")
 
 
+def measure_probes() -> None:
+    """Measure the processor time of one health probe."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    with listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(N_PROBES)
+        address = listener.getsockname()
+        prober = Prober(None, period_seconds=1.0, timeout_seconds=1.0)
+        began = time.process_time()
+        n_up = sum(prober.is_up(address) for _ in range(N_PROBES))
+        spent = time.process_time() - began
+    show("probe_processor", spent / n_up * 1e3, "ms/probe")
+
+
 def measure_messages() -> None:
     """Measure the size of messages that grow with their content."""
     from stoattray_core.messages import BucketState, FlowGroup, MemberState, Ping
 
     empty = message_size(BucketUpdate(1, [], [], []))
     bucket = BucketState(
-        "organisation/service", 100, 5, 7, True, "lookup-1@10.0.0.1:9000"
+        "organisation/service", 100, 5, 7, True, "lookup-1@127.0.0.1:9000"
     )
     one = message_size(BucketUpdate(1, [], [bucket], []))
     show("message_bucket", one - empty, "bytes/bucket")
     group = FlowGroup(
-        "organisation/service", 100, "lookup-1@10.0.0.1:9000", b"x" * 6_000
+        "organisation/service", 100, "lookup-1@127.0.0.1:9000", b"x" * 6_000
     )
     many = message_size(BucketUpdate(1, [], [], [group]))
     show("message_flow", (many - empty) / 1_000, "bytes/flow")
@@ -334,6 +351,7 @@
         run_processes(int(size) for size in arguments.sizes.split(","))
         return
     measure_messages()
+    measure_probes()
     measure_change_cost()
     for size in arguments.services.split(","):
         measure_services(int(size))
--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -146,7 +146,7 @@
     """Return bytes of resident memory per flow that opens now."""
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     destination = Endpoint("192.0.2.10", 443)
-    template = bytearray(tcp_packet(Endpoint("10.0.0.1", 1), destination, flags=SYN))
+    template = bytearray(tcp_packet(Endpoint("127.0.0.1", 1), destination, flags=SYN))
     for number in range(n_flows):
         template[12:16] = (0x0A000000 + number // 60_000).to_bytes(4)
         template[20:22] = (number % 60_000 + 1).to_bytes(2)
--- a/packages/stoattray-balancer/src/stoattray_balancer/_probes.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_probes.py
@@ -35,12 +35,13 @@
                 self._pool.spawn(self._probe, server, address)
             gevent.sleep(self._period_seconds)
 
-    def _probe(self, server: ServerId, address: Address) -> None:
-        self._core.on_probe_result(server, self._is_up(address))
-
-    def _is_up(self, address: Address) -> bool:
+    def is_up(self, address: Address) -> bool:
+        """Return whether a connection is made in time."""
         try:
             with socket.create_connection(address, timeout=self._timeout_seconds):
                 return True
         except OSError:
             return False
+
+    def _probe(self, server: ServerId, address: Address) -> None:
+        self._core.on_probe_result(server, self.is_up(address))
--- a/packages/stoattray-standin/src/stoattray_standin/deployments.py
+++ b/packages/stoattray-standin/src/stoattray_standin/deployments.py
@@ -13,7 +13,7 @@
     n_servers: int,
     policy: str = "continuity",
     idle_limit_seconds: float = 300.0,
-    host_prefix: str = "10.0.0.",
+    host_prefix: str = "127.0.0.",
     first_host: int = 1,
     port: int = 443,
     protocol: str = "tcp",
--- a/packages/stoattray-standin/src/stoattray_standin/episodes.py
+++ b/packages/stoattray-standin/src/stoattray_standin/episodes.py
@@ -322,7 +322,7 @@
 
 def _kill_server(run: SoakRun) -> None:
     host = run.random.choice((1, 101)) + run.random.randrange(7)
-    run.net.kill_server((f"10.0.0.{host}", SERVER_PORT))
+    run.net.kill_server((f"127.0.0.{host}", SERVER_PORT))
 
 
 FAULTS = (
--- a/tests/core/test_hashing.py
+++ b/tests/core/test_hashing.py
@@ -13,7 +13,7 @@
 
 def servers(count):
     """Return server ids."""
-    return [server_id(f"s{number}", "10.0.0.1", number + 1) for number in range(count)]
+    return [server_id(f"s{number}", "127.0.0.1", number + 1) for number in range(count)]
 
 
 class PlacementTableTest(unittest.TestCase):
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -5,7 +5,7 @@
 from stoattray_core.messages import Health
 from tests.builders import load, lookup, network
 
-DEAD = "lookup-1@10.0.0.1:9000"
+DEAD = "lookup-1@127.0.0.1:9000"
 
 
 class VerdictTest(unittest.TestCase):
@@ -34,7 +34,7 @@
     def test_all_servers_down_keeps_the_last_good_state(self):
         net = network(3, lookup())
         core = net.cores["b1"]
-        servers = [f"lookup-{number}@10.0.0.{number}:9000" for number in range(1, 8)]
+        servers = [f"lookup-{number}@127.0.0.{number}:9000" for number in range(1, 8)]
         for prober in ("b2", "b3"):
             core.on_message(Health(servers), prober, (prober, 7000))
         net.run(200)
@@ -44,7 +44,7 @@
     def test_flows_of_a_dead_server_are_reset_and_new_ones_open_elsewhere(self):
         net = network(4, lookup())
         load(net, lookup(), 2_000)
-        net.kill_server(("10.0.0.1", 9000))
+        net.kill_server(("127.0.0.1", 9000))
         died_at = net.now
         for _ in range(8):
             net.probe_servers()
--- a/tests/core/test_moves.py
+++ b/tests/core/test_moves.py
@@ -7,7 +7,7 @@
 from stoattray_standin.packets import ACK, tcp_packet
 from tests.builders import aula_core, load, lookup, network
 
-DRAINED = ("10.0.0.1", 9000)
+DRAINED = ("127.0.0.1", 9000)
 
 
 class PlannedChangeTest(unittest.TestCase):
@@ -174,7 +174,7 @@
         flow = net.open_flow(lookup(), n_packets=3)
         data = tcp_packet(flow.source, flow.destination, flags=ACK)
         with self.assertRaises(InvariantViolated):
-            net._at_server(("10.0.0.101", 9000), data)
+            net._at_server(("127.0.0.101", 9000), data)
 
 
 if __name__ == "__main__":
