--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -332,8 +332,8 @@
         "  successor both die are lost, and the flows that opened in moving buckets",
         "  since the move began then break. Successors are not yet chosen from",
         "  another rack.",
-        "* **Groups** are made by settings alone (seeds); `stoattrayctl wait` asks one",
-        "  group. Waiting for all groups with one command is to be built.",
+        "* **Groups** are made by settings alone (seeds). `stoattrayctl wait` asks a",
+        "  balancer of each group when `--server` is given once for each.",
     ]
 
 
--- a/packages/stoattray-operator/src/stoattray_operator/main.py
+++ b/packages/stoattray-operator/src/stoattray_operator/main.py
@@ -24,20 +24,10 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
     arguments = _parser().parse_args(argv)
-    client = Client(
-        Access(
-            server=arguments.server.rstrip("/"),
-            token=os.environ.get("STOATTRAY_TOKEN"),
-            ca_file=arguments.ca_file,
-            client_files=(
-                (arguments.certificate, arguments.key)
-                if arguments.certificate
-                else None
-            ),
-        )
-    )
+    servers = arguments.server or [os.environ.get("STOATTRAY_SERVER", DEFAULT_SERVER)]
+    arguments.clients = [_client(server, arguments) for server in servers]
     try:
-        return arguments.run(client, arguments)
+        return arguments.run(arguments.clients[0], arguments)
     except StoattrayError as error:
         print(f"stoattrayctl: {error.kind}: {error.reason}", file=sys.stderr)
         return error.answer.exit_status
@@ -45,14 +35,29 @@
         return 130
 
 
+def _client(server: str, arguments: argparse.Namespace) -> Client:
+    files = (arguments.certificate, arguments.key) if arguments.certificate else None
+    access = Access(
+        server=server.rstrip("/"),
+        token=os.environ.get("STOATTRAY_TOKEN"),
+        ca_file=arguments.ca_file,
+        client_files=files,
+    )
+    return Client(access)
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="stoattrayctl",
         description="Declares services and watches them come into force. "
         "The bearer token is read from STOATTRAY_TOKEN.",
     )
-    server = os.environ.get("STOATTRAY_SERVER", DEFAULT_SERVER)
-    parser.add_argument("--server", default=server, help="URL of any balancer's API")
+    parser.add_argument(
+        "--server",
+        action="append",
+        help="URL of any balancer's API; once for each group of balancers, of which "
+        "wait asks all and every other command the first",
+    )
     parser.add_argument("--ca-file", help="PEM file of the API's authority")
     parser.add_argument("--certificate", help="PEM file of the client's certificate")
     parser.add_argument("--key", help="PEM file of the client's key")
@@ -254,19 +259,25 @@
     return 0
 
 
-def _wait(client: Client, arguments: argparse.Namespace) -> int:
+def _wait(_: Client, arguments: argparse.Namespace) -> int:
+    """Wait until each group has the revision in force."""
     deadline = time.monotonic() + arguments.timeout
-    while True:
-        left = max(0.0, deadline - time.monotonic())
-        report = client.status(arguments.revision, min(left, LONGEST_WAIT_SECONDS))
-        if report["in_force"]:
-            _print_status(report, arguments.output)
-            return 0
-        if time.monotonic() >= deadline:
-            _print_status(report, arguments.output)
+    for client in arguments.clients:
+        report = _wait_for_group(client, arguments.revision, deadline)
+        _print_status(report, arguments.output)
+        if not report["in_force"]:
             missing = ",".join(report["lack"]) or "nobody in reach"
             reason = f"revision {arguments.revision} is not in force: {missing}"
             raise StoattrayError(ErrorKind.DEADLINE_EXCEEDED, reason)
+    return 0
+
+
+def _wait_for_group(client: Client, revision: int, deadline: float) -> dict[str, Any]:
+    while True:
+        left = max(0.0, deadline - time.monotonic())
+        report = client.status(revision, min(left, LONGEST_WAIT_SECONDS))
+        if report["in_force"] or time.monotonic() >= deadline:
+            return report
 
 
 def _status(client: Client, arguments: argparse.Namespace) -> int:
--- a/tests/balancer/test_process.py
+++ b/tests/balancer/test_process.py
@@ -116,7 +116,9 @@
         self.assertIn('"in_force": true', self.run_command(status))
         self.run_command([*server, "delete", "tanglaw/lookup"])
         self.run_command([*server, "get", "tanglaw/lookup"], status=3)
-        wait = [*server, "wait", "--for", "in-force", "--revision", "99"]
+        wait = [*server, *server, "wait", "--for", "in-force", "--revision"]
+        self.run_command([*wait, "1"])
+        wait.append("99")
         self.run_command([*wait, "--timeout", "0.3"], status=8)
         self.run_command([*server, "apply", "-f", "/nowhere"], status=2)
 
