--- a/packages/stoattray-core/src/stoattray_core/__init__.py
+++ b/packages/stoattray-core/src/stoattray_core/__init__.py
@@ -19,10 +19,11 @@
     server_id,
     server_name,
 )
+from stoattray_core._identity import Identity
 from stoattray_core._sentinel import Refused
 from stoattray_core._settings import CoreSettings
 from stoattray_core._tables import MemberStatus
-from stoattray_core.core import Core, Identity
+from stoattray_core.core import Core
 
 __all__ = [
     "ANSWERS",
--- a/packages/stoattray-core/src/stoattray_core/_joining.py
+++ b/packages/stoattray-core/src/stoattray_core/_joining.py
@@ -14,7 +14,8 @@
     split_buckets,
 )
 from stoattray_core._identifiers import N_SHARDS, Address, MemberId, Millis
-from stoattray_core._membership import Membership, describe_member
+from stoattray_core._member_messages import describe_member
+from stoattray_core._membership import Membership
 from stoattray_core._state import State
 from stoattray_core._tables import MemberRow, MemberStatus
 from stoattray_core.messages import Join, JoinReply
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/_member_messages.py
@@ -0,0 +1,27 @@
+"""What balancers say of members."""
+
+from stoattray_core._identifiers import MemberId
+from stoattray_core._tables import MemberRow
+from stoattray_core.messages import Join, MemberState, Ping
+
+
+def describe_member(row: MemberRow) -> MemberState:
+    """Return a member's row as a message."""
+    return MemberState(
+        member=row.member,
+        host=row.host,
+        peer_port=row.peer_port,
+        relay_port=row.relay_port,
+        api_port=row.api_port,
+        data_centre=row.data_centre,
+        incarnation=row.incarnation,
+        status=int(row.status),
+        config_revision=row.config_revision,
+    )
+
+
+def own_updates(message: Ping | Join, sender: MemberId) -> list[MemberState]:
+    """Return what a balancer says of itself."""
+    if isinstance(message, Join):
+        return [message.sender]
+    return [update for update in message.updates if update.member == sender]
--- a/packages/stoattray-core/src/stoattray_core/_membership.py
+++ b/packages/stoattray-core/src/stoattray_core/_membership.py
@@ -11,6 +11,7 @@
 
 from stoattray_core._buckets import demote_buckets, release_shard
 from stoattray_core._identifiers import Address, MemberId, Millis
+from stoattray_core._member_messages import describe_member, own_updates
 from stoattray_core._state import State
 from stoattray_core._tables import MemberRow, MemberStatus
 from stoattray_core.messages import (
@@ -102,7 +103,7 @@
         dead, and must not spread that.
         """
         if isinstance(message, Ping | Join):
-            for update in _own_updates(message, sender):
+            for update in own_updates(message, sender):
                 self.merge_one(update)
         row = self.state.tables.members.get(sender)
         if row is None or row.is_present or isinstance(message, Evicted):
@@ -377,25 +378,3 @@
         if row is not None:
             row.heard_at = self.state.now
             row.suspect_since = None
-
-
-def describe_member(row: MemberRow) -> MemberState:
-    """Return a member's row as a message."""
-    return MemberState(
-        member=row.member,
-        host=row.host,
-        peer_port=row.peer_port,
-        relay_port=row.relay_port,
-        api_port=row.api_port,
-        data_centre=row.data_centre,
-        incarnation=row.incarnation,
-        status=int(row.status),
-        config_revision=row.config_revision,
-    )
-
-
-def _own_updates(message: Ping | Join, sender: MemberId) -> list[MemberState]:
-    """Return what a balancer says of itself."""
-    if isinstance(message, Join):
-        return [message.sender]
-    return [update for update in message.updates if update.member == sender]
--- a/packages/stoattray-core/src/stoattray_core/core.py
+++ b/packages/stoattray-core/src/stoattray_core/core.py
@@ -1,6 +1,5 @@
 """The decision core of one balancer: typed input in, typed output out."""
 
-from dataclasses import dataclass
 from random import Random
 
 from stoattray_core._announcer import Announcer
@@ -20,6 +19,7 @@
     ServerId,
     ServiceId,
 )
+from stoattray_core._identity import Identity, own_row
 from stoattray_core._invariants import InvariantChecks
 from stoattray_core._joining import Joining
 from stoattray_core._membership import Membership
@@ -30,7 +30,7 @@
 from stoattray_core._routing import Routing
 from stoattray_core._settings import CoreSettings
 from stoattray_core._state import State
-from stoattray_core._tables import MemberRow, MemberStatus, Tables
+from stoattray_core._tables import MemberStatus, Tables
 from stoattray_core._takeovers import Takeovers
 from stoattray_core._updates import BucketUpdates
 from stoattray_core.configuration import ConfigEntry
@@ -60,33 +60,6 @@
 REQUEST_NUMBER_BITS = 40
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
-    """Who a balancer is and where it listens.
-
-    Parameters
-    ----------
-    member : MemberId
-        Unique name.
-    host : str
-        IP number.
-    peer_port, relay_port, api_port : int
-        UDP port of messages, UDP port of relayed packets, TCP port of the API.
-    data_centre : str
-        Name of the data centre.
-    incarnation : int
-        Higher than that of any earlier process of this name.
-    """
-
-    member: MemberId
-    host: str
-    peer_port: int
-    relay_port: int
-    api_port: int
-    data_centre: str
-    incarnation: int
-
-
 class Core:
     """Decides everything that one balancer does.
 
@@ -129,7 +102,7 @@
                 _last_number=random.getrandbits(REQUEST_NUMBER_BITS)
             ),
         )
-        self._state.tables.members[identity.member] = _own_row(identity)
+        self._state.tables.members[identity.member] = own_row(identity)
         self._distribution = Distribution(self._state)
         self._ownership = Ownership(self._state)
         self._takeovers = Takeovers(self._state, self._ownership)
@@ -399,16 +372,3 @@
                 self._anti_entropy.on_compare(message, sender)
             case Health():
                 self._health.on_health(message, sender)
-
-
-def _own_row(identity: Identity) -> MemberRow:
-    return MemberRow(
-        member=identity.member,
-        host=identity.host,
-        peer_port=identity.peer_port,
-        relay_port=identity.relay_port,
-        api_port=identity.api_port,
-        data_centre=identity.data_centre,
-        incarnation=identity.incarnation,
-        status=MemberStatus.JOINING,
-    )
