opening packets that were held for long are dropped

Not traced packet by packet; what the code allowed: of two opening packets one opens the flow at the base by a balancer that still sees the bucket as settled, the other waits at the next owner during a take-over and is then placed as new. Change: an opening packet that waited over 100 ms is dropped and counted (held_too_long); the caller repeats it if it still wants the flow.

--- a/packages/stoattray-core/src/stoattray_core/_ownership.py
+++ b/packages/stoattray-core/src/stoattray_core/_ownership.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from stoattray_core._errors import ErrorKind, InvariantViolated
-from stoattray_core._identifiers import MemberId
+from stoattray_core._identifiers import MemberId, Millis
 from stoattray_core._ranks import RankTable
 from stoattray_core._shard_records import adopt_records
 from stoattray_core._state import State
@@ -22,6 +22,8 @@
     data: bytes
     hops: int
     ingress: MemberId | None
+    opening: bool
+    held_at: Millis
 
 
 @dataclass(slots=True)
@@ -62,9 +64,21 @@
             self.state.refuse(ErrorKind.QUEUE_FULL, packet.data)
 
     def take_released(self) -> list[HeldPacket]:
-        """Return and forget the packets whose shards have an owner again."""
+        """Return and forget the packets whose shards have an owner again.
+
+        An opening packet that has waited for long is dropped: its caller may
+        have opened the flow meanwhile with a repeated one.
+        """
         shards = [shard for shard in self._held if not self.is_changing(shard)]
-        return [packet for shard in shards for packet in self._held.pop(shard)]
+        held = [packet for shard in shards for packet in self._held.pop(shard)]
+        oldest = self.state.now - self.state.settings.max_hold
+        released: list[HeldPacket] = []
+        for packet in held:
+            if packet.opening and packet.held_at < oldest:
+                self.state.refuse(ErrorKind.HELD_TOO_LONG, packet.data)
+            else:
+                released.append(packet)
+        return released
 
     def wanted(self, shard: int) -> MemberId | None:
         """Return the live member that should own the shard."""
--- a/packages/stoattray-core/src/stoattray_core/_placing.py
+++ b/packages/stoattray-core/src/stoattray_core/_placing.py
@@ -15,7 +15,13 @@
 )
 from stoattray_core._placement import choose_server, count_opened
 from stoattray_core._state import State
-from stoattray_core._tables import Bucket, FlowRecord, Move, ServiceRow
+from stoattray_core._tables import (
+    Bucket,
+    FlowRecord,
+    HeldOpening,
+    Move,
+    ServiceRow,
+)
 from stoattray_core.configuration import Policy
 from stoattray_core.outputs import Forward
 
@@ -103,7 +109,12 @@
         """Decide about opening packets that have waited for a change."""
         held = move.held
         move.held = []
-        for data in held:
+        oldest = self.state.now - self.state.settings.max_hold
+        for opening in held:
+            data = opening.data
+            if opening.held_at < oldest:
+                self.state.refuse(ErrorKind.HELD_TOO_LONG, data)
+                continue
             flow = FlowId(data[12:16] + data[20:22])
             kind = self.on_opening(row, shard, flow, data)
             if kind is not None:
@@ -117,7 +128,7 @@
             self.state.emit(Forward(server_address(bucket.base), data))
             return
         move = self.changes.begin(row, shard, is_planned=False)
-        self._hold(move.held, data)
+        self._hold_opening(move, data)
 
     def _open_recorded(
         self, row: ServiceRow, move: Move, flow: FlowId, data: bytes
@@ -142,7 +153,7 @@
         """Open at the base while others may still do so, or hold the packet."""
         is_base_usable = move.is_planned and not move.is_settling
         if bucket.base in row.failed or not is_base_usable:
-            self._hold(move.held, data)
+            self._hold_opening(move, data)
             return
         self._record(row, move, flow, bucket.base)
         self.state.emit(Forward(server_address(bucket.base), data))
@@ -172,6 +183,12 @@
         count_opened(row, server, 1)
         return record
 
+    def _hold_opening(self, move: Move, data: bytes) -> None:
+        if len(move.held) < self.state.settings.max_held_packets:
+            move.held.append(HeldOpening(data, self.state.now))
+        else:
+            self.state.refuse(ErrorKind.QUEUE_FULL, data)
+
     def _hold(self, held: list[bytes], data: bytes) -> None:
         if len(held) < self.state.settings.max_held_packets:
             held.append(data)
--- a/packages/stoattray-core/src/stoattray_core/_routing.py
+++ b/packages/stoattray-core/src/stoattray_core/_routing.py
@@ -132,7 +132,10 @@
         if self._may_decide(packet, owning):
             self._decide(packet, row, shard, ingress)
         elif self.ownership.is_changing(owning):
-            self.ownership.hold(owning, HeldPacket(packet.data, hops, ingress))
+            held = HeldPacket(
+                packet.data, hops, ingress, packet.opening, self.state.now
+            )
+            self.ownership.hold(owning, held)
         else:
             self._relay(packet.data, owning, hops)
 
--- a/packages/stoattray-core/src/stoattray_core/_settings.py
+++ b/packages/stoattray-core/src/stoattray_core/_settings.py
@@ -33,6 +33,9 @@
         balance policy stops tracking each flow.
     max_held_packets : int
         Packets that wait for one bucket.
+    max_hold : Millis
+        Longest time for which an opening packet waits; one that waited longer is
+        dropped, since its caller may have got through with a repeated one.
     max_pins : int
         Flows of one bucket that may be pinned when it settles.
     max_hops : int
@@ -54,6 +57,7 @@
     hint_after_packets: int = 8
     tracking_limit: int = 200
     max_held_packets: int = 64
+    max_hold: Millis = 100
     max_pins: int = 8_000
     max_hops: int = 3
     reset_delay: Millis = 5_000
--- a/packages/stoattray-core/src/stoattray_core/_tables.py
+++ b/packages/stoattray-core/src/stoattray_core/_tables.py
@@ -128,6 +128,14 @@
     is_hinted: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class HeldOpening:
+    """An opening packet that waits until its bucket can be decided."""
+
+    data: bytes
+    held_at: Millis
+
+
 @dataclass(slots=True)
 class Move:
     """The owner's state of a tracked bucket."""
@@ -139,7 +147,7 @@
     is_settling: bool = False
     records: dict[FlowId, FlowRecord] = field(default_factory=dict)
     held_by_flow: dict[FlowId, list[bytes]] = field(default_factory=dict)
-    held: list[bytes] = field(default_factory=list)
+    held: list[HeldOpening] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/core/test_held.py
@@ -0,0 +1,42 @@
+"""An opening packet that waited for long is dropped, not placed late."""
+
+import unittest
+
+from stoattray_core._ownership import HeldPacket
+from tests.builders import LOOKUP, lookup, network, opening_packet
+
+
+class HeldOpeningTest(unittest.TestCase):
+    """Its caller may have got through with a repeated one (soak seed 9)."""
+
+    def setUp(self):
+        self.net = network(1, lookup())
+        self.core = self.net.cores["b1"]
+        self.ownership = self.core._ownership
+
+    def release(self, wait, opening):
+        packet = HeldPacket(opening_packet(), 0, None, opening, self.net.now)
+        self.ownership.hold(0, packet)
+        self.core._state.now += wait
+        return self.ownership.take_released()
+
+    def test_waiting_for_an_owner(self):
+        self.assertEqual(len(self.release(50, opening=True)), 1)
+        self.assertEqual(self.release(500, opening=True), [])
+        self.assertEqual(len(self.release(500, opening=False)), 1)
+        self.assertEqual(self.core.counters["held_too_long"], 1)
+
+    def test_waiting_for_a_bucket(self):
+        service = self.core.tables.services["tanglaw/lookup"]
+        shard = next(
+            index
+            for index, row in enumerate(self.core.tables.shards)
+            if row.owner == "b1"
+        )
+        placing = self.core._placing
+        move = placing.changes.begin(service, shard, is_planned=False)
+        placing._hold_opening(move, opening_packet(destination=LOOKUP))
+        self.core._state.now += 500
+        placing.release_held(service, shard, move)
+        self.assertEqual(self.core.counters["held_too_long"], 1)
+        self.assertEqual(move.records, {})
