--- a/packages/stoattray-balancer/src/stoattray_balancer/_api.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_api.py
@@ -110,7 +110,8 @@
         self._context.telemetry.span("api to platform", operation="get")
         declared = self._context.declarations.get(organisation, name)
         _require(declared, organisation, name)
-        response.media = _describe(declared)
+        report = report_in_force(self._context.core, declared.revision)
+        response.media = {**_describe(declared), "status": report.to_json()}
 
     def on_put(
         self,
--- a/packages/stoattray-operator/src/stoattray_operator/main.py
+++ b/packages/stoattray-operator/src/stoattray_operator/main.py
@@ -238,6 +238,8 @@
         for server in servers
     ]
     print(format_table(("BACKEND SERVER", "ADDRESS", "STATE", "WEIGHT"), rows))
+    print()
+    _print_status(item["status"], "table")
     return 0
 
 
--- a/tests/balancer/test_process.py
+++ b/tests/balancer/test_process.py
@@ -111,7 +111,9 @@
         drain = [*server, "drain", "tanglaw/lookup", "lookup-1"]
         self.assertIn("draining", self.run_command(drain))
         describe = [*server, "describe", "tanglaw/lookup"]
-        self.assertIn("draining", self.run_command(describe))
+        described = self.run_command(describe)
+        self.assertIn("draining", described)
+        self.assertIn("in force", described)
         status = [*server, "status", "-o", "json"]
         self.assertIn('"in_force": true', self.run_command(status))
         self.run_command([*server, "delete", "tanglaw/lookup"])
