--- a/packages/stoattray-core/src/stoattray_core/_distribution.py
+++ b/packages/stoattray-core/src/stoattray_core/_distribution.py
@@ -5,7 +5,7 @@
 beyond it. The held revision never goes down.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
@@ -46,7 +46,6 @@
 
     state: State
     _pulled_at: Millis = -PULL_PERIOD
-    _unreadable: set[str] = field(default_factory=set)
 
     def is_reader(self) -> bool:
         """Return whether this balancer reads the platform for its data centre."""
@@ -135,10 +134,8 @@
             return
         model = read_service(entry.value)
         if model is None or model.service != service:
-            self._unreadable.add(entry.key)
             self.state.log("config_unreadable", key=entry.key, revision=entry.revision)
             return
-        self._unreadable.discard(entry.key)
         self._install_service(model.to_spec(), entry.revision)
 
     def _install_service(self, spec: ServiceSpec, revision: int) -> None:
--- a/packages/stoattray-core/src/stoattray_core/_groups.py
+++ b/packages/stoattray-core/src/stoattray_core/_groups.py
@@ -1,6 +1,6 @@
 """Packing of flows into message groups and back."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 from stoattray_core._identifiers import (
     FLOW_ID_BYTES,
@@ -31,28 +31,3 @@
     flows = group.flows
     for start in range(0, len(flows) - FLOW_ID_BYTES + 1, FLOW_ID_BYTES):
         yield FlowId(flows[start : start + FLOW_ID_BYTES])
-
-
-def split_parts(
-    items: Iterable[tuple[object, int]], max_bytes: int
-) -> Iterator[list[object]]:
-    """Yield runs of items whose sizes in bytes add up to `max_bytes` at most.
-
-    Parameters
-    ----------
-    items : iterable of (item, size) pairs
-        An item larger than `max_bytes` makes a run of its own.
-    max_bytes : int
-        Bound of one run.
-    """
-    run: list[object] = []
-    size = 0
-    for item, item_size in items:
-        if run and size + item_size > max_bytes:
-            yield run
-            run = []
-            size = 0
-        run.append(item)
-        size += item_size
-    if run:
-        yield run
