--- a/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
@@ -4,6 +4,7 @@
 import logging
 import sys
 import time
+from typing import TextIO
 
 LOGGER = logging.getLogger("stoattray")
 
@@ -24,9 +25,9 @@
         return f"{head} {record.getMessage()}"
 
 
-def set_up_logging(level: str) -> None:
-    """Write events of at least `level` to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up_logging(level: str, stream: TextIO | None = None) -> None:
+    """Write events of at least `level` to a stream, by default standard error."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_LineFormatter())
     LOGGER.handlers[:] = [handler]
     LOGGER.setLevel(level.upper())
--- a/packages/stoattray-balancer/src/stoattray_balancer/_platform_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_platform_reader.py
@@ -6,11 +6,13 @@
 import gevent
 from gevent.event import Event
 
+from stoattray_balancer._call_limits import BackOff
 from stoattray_balancer._declarations import Declarations
 from stoattray_balancer._logs import log_event
 from stoattray_balancer._store import Store
 from stoattray_core import Core
 
+FIRST_BACK_OFF_SECONDS = 1.0
 MAX_BACK_OFF_SECONDS = 30.0
 NOT_READER_CHECK_SECONDS = 1.0
 
@@ -47,7 +49,7 @@
         self._poll_seconds = poll_seconds
         self._random = random
         self._changed = Event()
-        self._n_failures = 0
+        self._back_off = BackOff(FIRST_BACK_OFF_SECONDS, MAX_BACK_OFF_SECONDS, random)
 
     def run_reads(self) -> None:
         """Read for ever."""
@@ -60,7 +62,7 @@
                 self._note_success()
                 self._changed.wait(self._poll_seconds)
             else:
-                gevent.sleep(self._back_off("read"))
+                gevent.sleep(self._note_failure("read"))
 
     def run_watch(self) -> None:
         """Watch for ever, and wake the reads when something changes."""
@@ -76,17 +78,15 @@
         return self._core.is_reader or self._core.config_revision == 0
 
     def _note_success(self) -> None:
-        if self._n_failures:
-            log_event("platform_back", n_failures=self._n_failures)
-        self._n_failures = 0
+        if self._back_off.n_failures:
+            log_event("platform_back", n_failures=self._back_off.n_failures)
+        self._back_off.succeed()
 
-    def _back_off(self, what: str) -> float:
-        """Return a wait drawn evenly from an interval that doubles."""
-        if self._n_failures == 0:
+    def _note_failure(self, what: str) -> float:
+        """Log the first failure in a row; return the seconds to wait."""
+        if self._back_off.n_failures == 0:
             log_event("platform_unreachable", call=what)
-        self._n_failures += 1
-        limit = min(MAX_BACK_OFF_SECONDS, 0.5 * 2 ** min(self._n_failures, 10))
-        return self._random.uniform(0.1, limit)
+        return self._back_off.fail()
 
 
 def forever(action: Callable[[], None], name: str) -> Callable[[], None]:
--- a/packages/stoattray-balancer/src/stoattray_balancer/_store.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_store.py
@@ -15,6 +15,7 @@
 import requests
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from stoattray_balancer._call_limits import RateLimit
 from stoattray_balancer.settings import PlatformSettings
 from stoattray_core import ErrorKind, Refused
 from stoattray_core.configuration import ConfigEntry
@@ -67,34 +68,6 @@
     value: str | None
 
 
-class RateLimit:
-    """Bounds this node's calls to the platform by a token bucket.
-
-    Parameters
-    ----------
-    per_second : float
-        Calls a second; as many may come at once.
-    """
-
-    def __init__(self, per_second: float) -> None:
-        self._per_second = per_second
-        self._tokens = max(1.0, per_second)
-        self._filled_at = time.monotonic()
-        self.n_calls = 0
-
-    def take(self) -> bool:
-        """Return whether a call may be made now."""
-        now = time.monotonic()
-        filled = self._tokens + (now - self._filled_at) * self._per_second
-        self._tokens = min(max(1.0, self._per_second), filled)
-        self._filled_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        self.n_calls += 1
-        return True
-
-
 class Store:
     """Reads and compare-and-swap writes with deadlines.
 
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Process of a balancer with cookie placement: sockets, peers and the store."""
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
@@ -0,0 +1,202 @@
+"""HTTP/1.1 over gevent's sockets: one client connection, and a small server.
+
+Parsing is httptools'. requests and falcon would take 37 MB and half a second of
+start between them, which small machines do not have.
+"""
+
+import socket as sockets
+from collections.abc import Callable
+from urllib.parse import quote
+
+import gevent
+import httptools
+from gevent import socket
+from gevent.server import StreamServer
+
+from stoattray_core._identifiers import Address
+
+RECEIVE_BYTES = 65_536
+MAX_REQUEST_BYTES = 16_384
+"""Largest request of a probe or a metrics reader; more is cut off."""
+
+MAX_ANSWER_BYTES = 8_388_608
+"""Largest answer taken: a page of the store is at most about 1 MB before base64."""
+
+SERVE_SECONDS = 5.0
+"""Longest time that an idle client may keep a connection to the server."""
+
+BACKLOG = 16
+
+
+class HttpFailed(Exception):
+    """A call has no answer; `was_sent` tells whether it may have taken effect."""
+
+    def __init__(self, reason: str, *, was_sent: bool) -> None:
+        super().__init__(reason)
+        self.was_sent = was_sent
+
+
+class _AnswerReader:
+    """Collects one answer from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self.chunks: list[bytes] = []
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_body(self, body: bytes) -> None:
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        self.is_complete = True
+
+
+class HttpConnection:
+    """A connection that is kept open and made anew after any failure.
+
+    Parameters
+    ----------
+    address : Address
+        Where the server listens.
+    connect_seconds : float
+        Limit for making the connection.
+    """
+
+    def __init__(self, address: Address, *, connect_seconds: float) -> None:
+        self._address = address
+        self._connect_seconds = connect_seconds
+        self._socket: socket.socket | None = None
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def call(
+        self, method: str, path: str, body: bytes, *, seconds: float
+    ) -> tuple[int, bytes]:
+        """Return status and body of the answer.
+
+        Parameters
+        ----------
+        method, path : str
+            What is asked for.
+        body : bytes
+            JSON, may be empty.
+        seconds : float
+            Limit for the whole call once connected.
+
+        Raises
+        ------
+        HttpFailed
+            If there is no whole answer in time.
+        """
+        was_sent = False
+        try:
+            connection = self._connect()
+            with gevent.Timeout(seconds, TimeoutError("no answer in time")):
+                was_sent = True
+                connection.sendall(self._request(method, path, body))
+                return self._read(connection)
+        except (OSError, TimeoutError, httptools.HttpParserError) as error:
+            self.close()
+            raise HttpFailed(repr(error), was_sent=was_sent) from error
+        except BaseException:
+            self.close()
+            raise
+
+    def _connect(self) -> socket.socket:
+        if self._socket is None:
+            made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            made.settimeout(self._connect_seconds)
+            try:
+                made.connect(self._address)
+            except BaseException:
+                made.close()
+                raise
+            made.settimeout(None)
+            made.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+            self._socket = made
+        return self._socket
+
+    def _request(self, method: str, path: str, body: bytes) -> bytes:
+        host, port = self._address
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
+        if body or method != "GET":
+            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        return head.encode() + b"\r\n" + body
+
+    def _read(self, connection: socket.socket) -> tuple[int, bytes]:
+        reader = _AnswerReader()
+        n_bytes = 0
+        while not reader.is_complete:
+            data = connection.recv(RECEIVE_BYTES)
+            if not data:
+                raise ConnectionResetError("closed before the answer's end")
+            n_bytes += len(data)
+            if n_bytes > MAX_ANSWER_BYTES:
+                raise ConnectionAbortedError("answer too large")
+            reader.parser.feed_data(data)
+        if not reader.parser.should_keep_alive():
+            self.close()
+        return reader.parser.get_status_code(), b"".join(reader.chunks)
+
+
+def query(path: str, **parameters: str | int) -> str:
+    """Return `path` with a query string."""
+    pairs = [f"{name}={quote(str(value))}" for name, value in parameters.items()]
+    return path + "?" + "&".join(pairs)
+
+
+class _RequestReader:
+    """Collects one request from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.path = ""
+        self.is_complete = False
+        self.parser = httptools.HttpRequestParser(self)
+
+    def on_url(self, url: bytes) -> None:
+        self.path += url.decode("ascii", "replace")
+
+    def on_message_complete(self) -> None:
+        self.is_complete = True
+
+
+Answerer = Callable[[str], tuple[int, str]]
+"""Takes a path and returns status and body."""
+
+
+def http_server(address: Address, answer: Answerer) -> StreamServer:
+    """Return a server that answers each request by its path; not yet started."""
+
+    def serve(connection: socket.socket, _: Address) -> None:
+        try:
+            while _serve_one(connection, answer):
+                pass
+        except (OSError, httptools.HttpParserError):
+            return
+        finally:
+            connection.close()
+
+    return StreamServer(address, serve, backlog=BACKLOG)
+
+
+def _serve_one(connection: socket.socket, answer: Answerer) -> bool:
+    """Serve one request; return whether the connection stays open."""
+    connection.settimeout(SERVE_SECONDS)
+    reader = _RequestReader()
+    n_bytes = 0
+    while not reader.is_complete:
+        data = connection.recv(RECEIVE_BYTES)
+        n_bytes += len(data)
+        if not data or n_bytes > MAX_REQUEST_BYTES:
+            return False
+        reader.parser.feed_data(data)
+    status, text = answer(reader.path)
+    body = text.encode()
+    head = f"HTTP/1.1 {status} {'OK' if status == 200 else 'Unavailable'}\r\n"
+    head += f"Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
+    connection.sendall(head.encode() + body)
+    return reader.parser.should_keep_alive()
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -0,0 +1,142 @@
+"""Form of what balancers with cookie placement send each other.
+
+msgpack stands in for thrift here: thriftpy2 takes 13 MB, more than all the rest of
+such a process. Rows are arrays; a new field goes to the end, and unknown ones are
+passed over.
+"""
+
+from typing import Any
+
+import msgpack
+
+from stoattray_core._errors import ErrorKind
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.replica import Difference, Record
+
+FORMAT_VERSION = 1
+MAX_FRAME_BYTES = 16_777_216
+"""Largest difference taken; 20,000 servers and 2,200 routes are about 8 MB."""
+
+MALFORMED = Refused(ErrorKind.MESSAGE_MALFORMED)
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return a heartbeat as a datagram."""
+    return msgpack.packb(
+        [
+            FORMAT_VERSION,
+            _member_row(heartbeat.member),
+            heartbeat.is_ready,
+            heartbeat.is_reader,
+            heartbeat.revision,
+            heartbeat.confirmed_age,
+            heartbeat.return_age,
+            heartbeat.open_flows,
+            [_member_row(entry) for entry in heartbeat.known],
+        ]
+    )
+
+
+def decode_heartbeat(data: bytes) -> Heartbeat | Refused:
+    """Return the heartbeat in a datagram, or why there is none."""
+    try:
+        version, member, ready, reader, revision, age, return_age, flows, known, *_ = (
+            msgpack.unpackb(data, strict_map_key=False)
+        )
+        if version != FORMAT_VERSION:
+            return Refused(ErrorKind.MESSAGE_BAD_VERSION, f"version {version!r}")
+        return Heartbeat(
+            member=_read_member(member),
+            is_ready=bool(ready),
+            is_reader=bool(reader),
+            revision=_read_number(revision),
+            confirmed_age=_read_number(age),
+            return_age=None if return_age is None else _read_number(return_age),
+            open_flows={
+                _read_number(cookie): _read_number(n_flows)
+                for cookie, n_flows in flows.items()
+            },
+            known=tuple(_read_member(row) for row in known),
+        )
+    except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
+        return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
+
+
+def encode_request(after: int) -> bytes:
+    """Return the request for what changed after a revision."""
+    return msgpack.packb([FORMAT_VERSION, after])
+
+
+def decode_request(data: bytes) -> int | Refused:
+    """Return the revision that a peer asks from, or why it can't be read."""
+    try:
+        version, after, *_ = msgpack.unpackb(data)
+        return after if version == FORMAT_VERSION and after >= 0 else MALFORMED
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
+
+
+def encode_difference(heartbeat: Heartbeat, difference: Difference) -> bytes:
+    """Return the answer to a request: who answers, and what changed."""
+    rows = [list(record) for record in difference.records]
+    return msgpack.packb(
+        [
+            FORMAT_VERSION,
+            encode_heartbeat(heartbeat),
+            difference.revision,
+            difference.is_whole,
+            rows,
+        ]
+    )
+
+
+def decode_difference(data: bytes) -> tuple[Heartbeat, Difference] | Refused:
+    """Return the answer to a request, or why it can't be read."""
+    try:
+        version, beat, revision, is_whole, rows, *_ = msgpack.unpackb(data)
+        heartbeat = decode_heartbeat(beat)
+        if version != FORMAT_VERSION or isinstance(heartbeat, Refused):
+            return MALFORMED
+        records = [_read_record(row) for row in rows]
+        return heartbeat, Difference(_read_number(revision), records, bool(is_whole))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
+
+
+def encode_member(entry: MemberEntry) -> bytes:
+    """Return a member as it stands in the store."""
+    return msgpack.packb(_member_row(entry))
+
+
+def decode_member(data: bytes) -> MemberEntry | Refused:
+    """Return a member from the store, or why it can't be read."""
+    try:
+        return _read_member(msgpack.unpackb(data))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return Refused(ErrorKind.ENTRY_MALFORMED, repr(error))
+
+
+def _member_row(entry: MemberEntry) -> list[Any]:
+    return [entry.name, entry.host, entry.data_centre, entry.incarnation]
+
+
+def _read_member(row: Any) -> MemberEntry:
+    name, host, data_centre, incarnation, *_ = row
+    if not all(isinstance(text, str) for text in (name, host, data_centre)):
+        raise TypeError("a member's name, host and data centre are text")
+    return MemberEntry(name, host, data_centre, _read_number(incarnation))
+
+
+def _read_number(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise TypeError(f"{value!r} is not a whole number from 0 on")
+    return value
+
+
+def _read_record(row: Any) -> Record:
+    key, revision, value = row
+    if not isinstance(key, str) or not isinstance(value, bytes | None):
+        raise TypeError("a record has a text key and bytes")
+    return Record(key, _read_number(revision), value)
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
@@ -0,0 +1,155 @@
+"""The packet path: callers' packets in, to backend servers or a reset back."""
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+
+from stoattray_core._errors import ANSWERS, PacketAnswer
+from stoattray_core._identifiers import Address, Millis
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.servers import ServerRow
+from stoattray_core.steering.steering import EventSink, Packet, Steering
+
+RECEIVE_BYTES = 2_048
+"""Packets are at most 1,232 bytes; a longer one is cut, and refused by its length."""
+
+BATCH_PACKETS = 64
+"""Packets taken before other work gets its turn."""
+
+RECEIVE_BUFFER_BYTES = 1_048_576
+"""Holds about a second of opening packets; unread bytes count as memory."""
+
+TICK_SECONDS = 0.005
+REST_TICK_SECONDS = 0.05
+"""Pause between ticks while openings wait for a follow-up, and while none do."""
+
+READ_EVENT = 1
+
+
+class Header(Protocol):
+    """Reads and writes the head of packets."""
+
+    def read(self, data: bytes) -> Packet | Refused:
+        """Return a caller's packet, or why it is refused."""
+
+    def for_server(self, data: bytes, label: bytes, cookie: int) -> bytes:
+        """Return a packet with its server's label and cookie."""
+
+    def reset(self, data: bytes) -> bytes:
+        """Return the reset that answers an opening packet."""
+
+    def caller_host(self, data: bytes) -> str:
+        """Return the IP number of the caller of a packet."""
+
+
+class DatagramPath:
+    """Moves packets between one socket and the decisions.
+
+    Parameters
+    ----------
+    steering : Steering
+        Decides.
+    header : Header
+        Reads and writes packets.
+    address : Address
+        Where callers' packets come in; callers take packets at the same port.
+    clock : callable
+        Returns the time.
+    on_event : EventSink
+        Takes events.
+    """
+
+    def __init__(
+        self,
+        steering: Steering,
+        header: Header,
+        address: Address,
+        *,
+        clock: Callable[[], Millis],
+        on_event: EventSink,
+    ) -> None:
+        self._steering = steering
+        self._header = header
+        self._port = address[1]
+        self._clock = clock
+        self._on_event = on_event
+        self.counters: Counter[str] = Counter()
+        self.last_packet_at: Millis = 0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+        self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
+
+    def start(self) -> None:
+        """Forward packets from now on."""
+        self._watcher.start(self._receive)
+
+    def stop(self) -> None:
+        """Forward no more."""
+        self._watcher.stop()
+        self._watcher.close()
+        self._socket.close()
+
+    def run_ticks(self) -> None:
+        """Judge openings without follow-up for ever."""
+        cleaned_at = self._clock()
+        while True:
+            self._receive()
+            now = self._clock()
+            for server, data in self._steering.tick(now):
+                self._forward(server, data)
+            if now - cleaned_at >= 1_000:
+                cleaned_at = now
+                self._steering.clean_up(now)
+            is_waiting = self._steering.n_waiting > 0
+            gevent.sleep(TICK_SECONDS if is_waiting else REST_TICK_SECONDS)
+
+    def _receive(self) -> None:
+        for _ in range(BATCH_PACKETS):
+            try:
+                data = self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._on_event("datagram_unread", error=repr(error))
+                return
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        packet = self._header.read(data)
+        if isinstance(packet, Refused):
+            self._refuse(packet, data)
+            return
+        now = self._clock()
+        self.last_packet_at = now
+        server = self._steering.route_packet(packet, now)
+        if isinstance(server, Refused):
+            self._refuse(server, data)
+        else:
+            self._forward(server, data)
+
+    def _forward(self, server: ServerRow, data: bytes) -> None:
+        self.counters["forwarded"] += 1
+        packet = self._header.for_server(data, server.entry.label, server.cookie)
+        self._send(packet, server.address)
+
+    def _refuse(self, refused: Refused, data: bytes) -> None:
+        self.counters[refused.kind] += 1
+        is_reset = ANSWERS[refused.kind].packet is PacketAnswer.RESET
+        if is_reset:
+            self._send(
+                self._header.reset(data), (self._header.caller_host(data), self._port)
+            )
+
+    def _send(self, data: bytes, address: Address) -> None:
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            self.counters["unsent"] += 1
+            self._on_event("datagram_unsent", to=address[0], error=repr(error))
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -0,0 +1,236 @@
+"""Heartbeats between balancers, and taking changes from one that knows more."""
+
+import socket as sockets
+import struct
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from stoattray_balancer.steering._peer_codec import (
+    MAX_FRAME_BYTES,
+    decode_difference,
+    decode_heartbeat,
+    decode_request,
+    encode_difference,
+    encode_heartbeat,
+    encode_request,
+)
+from stoattray_core._identifiers import Address, Millis
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.replica import Difference
+from stoattray_core.steering.steering import EventSink, Steering
+
+HEARTBEAT_SECONDS = 0.2
+"""Five fit into the time after which a member is no longer live."""
+
+FAR_EVERY = 3
+"""One heartbeat in so many also goes to other data centres."""
+
+N_KNOWN = 4
+"""Members told of in each heartbeat; all are known after a few seconds."""
+
+PULL_SECONDS = 0.8
+"""Limit for taking changes from a peer; a whole copy takes some 20 ms."""
+
+PULL_PAUSE_SECONDS = 0.3
+"""Least pause between two takings from seeds while not ready."""
+
+MAX_DATAGRAM_BYTES = 65_535
+_LENGTH = struct.Struct("!I")
+READ_EVENT = 1
+
+
+class Peers:
+    """Sends and takes heartbeats and differences.
+
+    Parameters
+    ----------
+    steering : Steering
+        Whose state is told and brought up to date.
+    own : MemberEntry
+        This balancer.
+    peer_port : int
+        UDP and TCP port of every balancer.
+    seeds : tuple of Address
+        Where balancers may answer; may be stale.
+    is_reading : callable
+        Returns whether this balancer reads the store.
+    clock : callable
+        Returns the time.
+    on_event : EventSink
+        Takes events.
+    """
+
+    def __init__(
+        self,
+        steering: Steering,
+        own: MemberEntry,
+        *,
+        peer_port: int,
+        seeds: tuple[Address, ...],
+        is_reading: Callable[[], bool],
+        clock: Callable[[], Millis],
+        on_event: EventSink,
+    ) -> None:
+        self._steering = steering
+        self._own = own
+        self._peer_port = peer_port
+        self._seeds = seeds
+        self._is_reading = is_reading
+        self._clock = clock
+        self._on_event = on_event
+        self._pulling_from: set[Address] = set()
+        self._socket = sockets.socket(sockets.AF_INET, sockets.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((own.host, peer_port))
+        self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
+        self.is_leaving = False
+
+    def start(self) -> None:
+        """Take heartbeats from now on."""
+        self._watcher.start(self._receive)
+
+    def stop(self) -> None:
+        """Take no more heartbeats."""
+        self._watcher.stop()
+        self._watcher.close()
+        self._socket.close()
+
+    def server(self, address: Address) -> StreamServer:
+        """Return a server that hands out differences; not yet started."""
+        return StreamServer(address, self._serve)
+
+    def run_heartbeats(self) -> None:
+        """Tell the others of this balancer for ever."""
+        n_sent = 0
+        while True:
+            with_far = n_sent % FAR_EVERY == 0
+            self._send_heartbeats(with_far=with_far)
+            n_sent += 1
+            gevent.sleep(HEARTBEAT_SECONDS)
+
+    def run_seeds(self) -> None:
+        """Ask all seeds at once, again and again until ready, then once more."""
+        while True:
+            was_ready = self._steering.is_ready
+            tasks = [gevent.spawn(self._pull, seed) for seed in self._seeds]
+            gevent.joinall(tasks, timeout=PULL_SECONDS)
+            if was_ready:
+                return
+            gevent.sleep(PULL_PAUSE_SECONDS)
+
+    def heartbeat(self, *, n_known: int = N_KNOWN) -> Heartbeat:
+        """Return what this balancer tells of itself now."""
+        steering = self._steering
+        now = self._clock()
+        return Heartbeat(
+            member=self._own,
+            is_ready=steering.is_ready and not self.is_leaving,
+            is_reader=self._is_reading() and not self.is_leaving,
+            revision=steering.replica.revision,
+            confirmed_age=max(0, steering.confirmed_age(now)),
+            return_age=steering.store_health.return_age(now),
+            open_flows=steering.open_flows(),
+            known=steering.members.draw_known(now, n_known),
+        )
+
+    def _send_heartbeats(self, *, with_far: bool) -> None:
+        told = self._steering.members.draw_told(self._clock(), with_far=with_far)
+        if not told:
+            return
+        data = encode_heartbeat(self.heartbeat())
+        for entry in told:
+            try:
+                self._socket.sendto(data, (entry.host, self._peer_port))
+            except OSError as error:
+                self._on_event("heartbeat_unsent", to=entry.name, error=repr(error))
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._on_event("heartbeat_unread", error=repr(error))
+                return
+            heartbeat = decode_heartbeat(data)
+            if isinstance(heartbeat, Refused):
+                self._on_event("heartbeat_refused", reason=heartbeat.detail)
+                continue
+            self._take_heartbeat(heartbeat)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if self._steering.take_heartbeat(heartbeat, self._clock()):
+            self._on_event("member_heard", member=heartbeat.member.name)
+        if heartbeat.revision > self._steering.replica.revision:
+            address = (heartbeat.member.host, self._peer_port)
+            if address not in self._pulling_from:
+                gevent.spawn(self._pull, address)
+
+    def _pull(self, address: Address) -> None:
+        """Take what a balancer knows and this one does not."""
+        if address in self._pulling_from:
+            return
+        self._pulling_from.add(address)
+        try:
+            with gevent.Timeout(PULL_SECONDS, TimeoutError("no answer in time")):
+                answer = self._ask(address)
+        except (OSError, TimeoutError) as error:
+            self._on_event("peer_unreachable", peer=address[0], error=repr(error))
+            return
+        finally:
+            self._pulling_from.discard(address)
+        if isinstance(answer, Refused):
+            self._on_event("peer_answer_refused", peer=address[0], reason=answer.detail)
+            return
+        heartbeat, difference = answer
+        self._steering.take_from_peer(heartbeat, difference, self._clock())
+
+    def _ask(self, address: Address) -> tuple[Heartbeat, Difference] | Refused:
+        connection = socket.create_connection(address)
+        try:
+            _send_frame(connection, encode_request(self._steering.replica.revision))
+            return decode_difference(_receive_frame(connection))
+        finally:
+            connection.close()
+
+    def _serve(self, connection: socket.socket, _: Address) -> None:
+        try:
+            connection.settimeout(PULL_SECONDS)
+            after = decode_request(_receive_frame(connection))
+            if isinstance(after, Refused):
+                self._on_event("peer_request_refused", reason=after.detail)
+                return
+            difference = self._steering.replica.since(after)
+            _send_frame(connection, encode_difference(self.heartbeat(), difference))
+        except OSError as error:
+            self._on_event("peer_request_failed", error=repr(error))
+        finally:
+            connection.close()
+
+
+def _send_frame(connection: socket.socket, data: bytes) -> None:
+    connection.sendall(_LENGTH.pack(len(data)) + data)
+
+
+def _receive_frame(connection: socket.socket) -> bytes:
+    (n_bytes,) = _LENGTH.unpack(_receive_exactly(connection, _LENGTH.size))
+    if n_bytes > MAX_FRAME_BYTES:
+        raise ConnectionAbortedError(f"frame of {n_bytes} bytes")
+    return _receive_exactly(connection, n_bytes)
+
+
+def _receive_exactly(connection: socket.socket, n_bytes: int) -> bytes:
+    chunks = []
+    while n_bytes:
+        data = connection.recv(min(n_bytes, MAX_DATAGRAM_BYTES))
+        if not data:
+            raise ConnectionResetError("closed in the middle of a frame")
+        chunks.append(data)
+        n_bytes -= len(data)
+    return b"".join(chunks)
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -0,0 +1,246 @@
+"""One balancer process with cookie placement, from start to exit."""
+
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import Random
+
+import gevent
+from gevent.server import StreamServer
+
+from stoattray_balancer._logs import log_event, set_up_logging
+from stoattray_balancer.steering._http import http_server
+from stoattray_balancer.steering._peer_codec import encode_member
+from stoattray_balancer.steering.datagrams import DatagramPath, Header
+from stoattray_balancer.steering.peers import Peers
+from stoattray_balancer.steering.settings import (
+    SteeringSettings,
+    load_steering_settings,
+)
+from stoattray_balancer.steering.store_client import StoreClient
+from stoattray_balancer.steering.store_reader import Registration, StoreReader
+from stoattray_core._errors import StoattrayError
+from stoattray_core._identifiers import Millis
+from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.steering import Decoder, Steering
+
+STOP_MARGIN_MILLIS = 1_000
+"""The process is out so long before the platform would end it."""
+
+QUIET_MILLIS = 1_000
+"""Routers have turned away when no packet came for this time."""
+
+TURN_AWAY_MILLIS = 1_300
+"""Routers take two missed checks, half a second apart, to turn away."""
+
+STOP_CHECK_SECONDS = 0.05
+SETTINGS_CHECK_SECONDS = 1.0
+"""How often the settings file is looked at; it may change without a signal."""
+
+
+def boot_millis() -> Millis:
+    """Return milliseconds of a clock that also counts while the VM is suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def forever(action: Callable[[], None], name: str) -> Callable[[], None]:
+    """Return a loop that starts `action` again after an unexpected error."""
+
+    def run() -> None:
+        while True:
+            try:
+                action()
+                return
+            except Exception as error:  # noqa: BLE001 - the process must go on
+                log_event("task_failed", task=name, error=repr(error))
+                gevent.sleep(STOP_CHECK_SECONDS)
+
+    return run
+
+
+class SteeringProcess:
+    """Wires the decisions to sockets, peers and the platform.
+
+    Parameters
+    ----------
+    path : Path
+        Settings file.
+    header : Header
+        Reads and writes packets.
+    decoder : Decoder
+        Reads records of the store.
+    client : callable
+        Makes a client of the store from settings.
+    readiness_path : str
+        Path that routers ask for readiness.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        *,
+        header: Header,
+        decoder: Decoder,
+        client: Callable[[SteeringSettings], StoreClient],
+        readiness_path: str,
+    ) -> None:
+        self._path = path
+        self._settings = load_steering_settings(path)
+        self._readiness_path = readiness_path
+        self._random = Random()
+        settings = self._settings
+        self._own = MemberEntry(
+            name=settings.member,
+            host=settings.host,
+            data_centre=settings.data_centre,
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        self._steering = Steering(
+            self._own,
+            decoder=decoder,
+            flow_life=settings.flow_life_ms,
+            random=self._random,
+            on_event=log_event,
+        )
+        self._datagrams = DatagramPath(
+            self._steering,
+            header,
+            settings.datagram,
+            clock=boot_millis,
+            on_event=log_event,
+        )
+        self._reader = StoreReader(
+            self._steering,
+            client(settings),
+            clock=boot_millis,
+            random=self._random,
+            on_event=log_event,
+        )
+        self._registration = Registration(
+            client(settings),
+            settings.member,
+            encode_member(self._own),
+            random=self._random,
+            on_event=log_event,
+        )
+        self._peers = Peers(
+            self._steering,
+            self._own,
+            peer_port=settings.peer_port,
+            seeds=settings.seeds,
+            is_reading=lambda: self._reader.is_reading,
+            clock=boot_millis,
+            on_event=log_event,
+        )
+        self._is_stopping = False
+
+    def run(self) -> int:
+        """Serve until told to stop; return the exit status."""
+        set_up_logging("info", stream=sys.stdout)
+        gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        with ExitStack() as stack:
+            stack.enter_context(self._paths())
+            stack.enter_context(self._servers())
+            stack.enter_context(self._tasks())
+            log_event("started", member=self._settings.member)
+            self._wait_ready()
+            while not self._is_stopping:
+                gevent.sleep(STOP_CHECK_SECONDS)
+            self._drain()
+        log_event("stopped")
+        return 0
+
+    def _wait_ready(self) -> None:
+        started = boot_millis()
+        while not self._steering.is_ready and not self._is_stopping:
+            gevent.sleep(0.005)
+        log_event("ready", waited_ms=boot_millis() - started)
+
+    def _answer_http(self, path: str) -> tuple[int, str]:
+        if path == self._readiness_path:
+            is_ready = self._steering.is_ready and not self._is_stopping
+            return (200, "ready\n") if is_ready else (503, "not ready\n")
+        return 404, "not found\n"
+
+    def _on_stop_signal(self) -> None:
+        self._is_stopping = True
+        self._peers.is_leaving = True
+
+    def _drain(self) -> None:
+        """Forward until routers have turned away, then take the own record away."""
+        started = boot_millis()
+        last = started + self._settings.grace_ms - STOP_MARGIN_MILLIS
+        log_event("draining", n_flows=self._steering.n_flows)
+        earliest = started + TURN_AWAY_MILLIS
+        while boot_millis() < last:
+            now = boot_millis()
+            is_quiet = now - self._datagrams.last_packet_at >= QUIET_MILLIS
+            if now >= earliest and is_quiet:
+                break
+            gevent.sleep(STOP_CHECK_SECONDS)
+        with gevent.Timeout(0.3, False):
+            self._registration.end()
+
+    def _reload(self) -> None:
+        """Read the settings anew; keep the old ones if the file is bad."""
+        try:
+            settings = load_steering_settings(self._path)
+        except StoattrayError as error:
+            log_event("reload_failed", kind=error.kind, reason=error.reason)
+            return
+        if settings != self._settings:
+            self._settings = settings
+            log_event("reloaded")
+
+    def _watch_settings(self) -> None:
+        while True:
+            gevent.sleep(SETTINGS_CHECK_SECONDS)
+            self._reload()
+
+    @contextmanager
+    def _paths(self) -> Iterator[None]:
+        self._datagrams.start()
+        self._peers.start()
+        try:
+            yield
+        finally:
+            self._datagrams.stop()
+            self._peers.stop()
+
+    @contextmanager
+    def _servers(self) -> Iterator[None]:
+        settings = self._settings
+        servers: list[StreamServer] = [
+            http_server(settings.readiness, self._answer_http),
+            http_server(settings.metrics, self._answer_http),
+            self._peers.server((settings.host, settings.peer_port)),
+        ]
+        if settings.seed_server is not None:
+            servers.append(self._peers.server(settings.seed_server))
+        for server in servers:
+            server.start()
+        try:
+            yield
+        finally:
+            for server in servers:
+                server.stop(timeout=0)
+
+    @contextmanager
+    def _tasks(self) -> Iterator[None]:
+        actions = {
+            "ticks": self._datagrams.run_ticks,
+            "store": self._reader.run,
+            "seeds": self._peers.run_seeds,
+            "heartbeats": self._peers.run_heartbeats,
+            "registration": self._registration.run,
+            "settings": self._watch_settings,
+        }
+        tasks = [gevent.spawn(forever(run, name)) for name, run in actions.items()]
+        try:
+            yield
+        finally:
+            gevent.killall(tasks, timeout=0.2)
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -0,0 +1,118 @@
+"""Settings of a balancer with cookie placement, checked without heavy libraries."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from stoattray_core._errors import ErrorKind, StoattrayError
+from stoattray_core._identifiers import Address
+
+_UNSET = object()
+
+
+@dataclass(frozen=True, slots=True)
+class SteeringSettings:
+    """Checked settings; `docs/operators/settings.md` gives unit and range of each."""
+
+    member: str
+    data_centre: str
+    host: str
+    datagram: Address
+    readiness: Address
+    seed_server: Address | None
+    metrics: Address
+    peer_port: int
+    seeds: tuple[Address, ...]
+    store: Address
+    store_reads_per_second: float
+    min_lease_ms: int
+    flow_life_ms: int
+    in_force_ms: int
+    grace_ms: int
+
+
+def load_steering_settings(path: Path) -> SteeringSettings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    StoattrayError
+        If the file can't be read, or a setting is missing or out of range.
+    """
+    try:
+        values = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise _invalid(f"{path}: {error}") from error
+    if not isinstance(values, dict):
+        raise _invalid(f"{path}: expected an object")
+    return _Reader(values).read()
+
+
+class _Reader:
+    """Takes typed values out of a JSON object."""
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        self._values = values
+
+    def read(self) -> SteeringSettings:
+        host = self._text("host")
+        peer_port = self._number("peer_port", 1, 65_535)
+        seed_server = self._text("seed_server", "")
+        return SteeringSettings(
+            member=self._text("member"),
+            data_centre=self._text("data_centre"),
+            host=host,
+            datagram=self._address("datagram"),
+            readiness=self._address("readiness"),
+            seed_server=_parse("seed_server", seed_server) if seed_server else None,
+            metrics=(host, int(self._number("metrics_port", 1, 65_535))),
+            peer_port=int(peer_port),
+            seeds=self._addresses("seeds"),
+            store=self._address("store"),
+            store_reads_per_second=self._number("store_reads_per_second", 1, 1e9),
+            min_lease_ms=int(self._number("min_lease_ms", 1, 600_000)),
+            flow_life_ms=int(self._number("flow_life_seconds", 1, 86_400) * 1_000),
+            in_force_ms=int(self._number("in_force_ms", 100, 600_000)),
+            grace_ms=int(self._number("grace_seconds", 1, 3_600) * 1_000),
+        )
+
+    def _get(self, name: str, default: Any = _UNSET) -> Any:
+        value = self._values.get(name, default)
+        if value is _UNSET:
+            raise _invalid(f"{name}: is missing")
+        return value
+
+    def _text(self, name: str, default: Any = _UNSET) -> str:
+        value = self._get(name, default)
+        if not isinstance(value, str):
+            raise _invalid(f"{name}: {value!r} is not text")
+        return value
+
+    def _number(self, name: str, least: float, most: float) -> float:
+        value = self._get(name)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise _invalid(f"{name}: {value!r} is not a number")
+        if not least <= value <= most:
+            raise _invalid(f"{name}: {value} is not from {least:g} to {most:g}")
+        return value
+
+    def _address(self, name: str) -> Address:
+        return _parse(name, self._text(name))
+
+    def _addresses(self, name: str) -> tuple[Address, ...]:
+        values = self._get(name)
+        if not isinstance(values, list):
+            raise _invalid(f"{name}: {values!r} is not a list")
+        return tuple(_parse(name, value) for value in values)
+
+
+def _parse(name: str, value: Any) -> Address:
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise _invalid(f"{name}: {value!r} is not host:port")
+    return host, int(port)
+
+
+def _invalid(reason: str) -> StoattrayError:
+    return StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
--- /dev/null
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -0,0 +1,181 @@
+"""Keeps the copy of the store up to date, and this balancer's own record in it."""
+
+from collections.abc import Callable
+from random import Random
+
+import gevent
+
+from stoattray_balancer._call_limits import BackOff
+from stoattray_balancer.steering.store_client import StoreClient
+from stoattray_core._errors import ErrorKind
+from stoattray_core._identifiers import Millis
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.replica import Difference
+from stoattray_core.steering.steering import EventSink, Steering
+
+WAIT_MILLIS = 4_000
+"""Longest wait of a watch; a connection that went silent is noticed after it."""
+
+GATHER_SECONDS = 0.7
+"""Pause between two watches, so that one answer carries many changes; with the
+answer it keeps drains and configuration within half of their bound of 3 s."""
+
+NOT_READER_SECONDS = 0.2
+"""How often a balancer that takes changes from peers looks whether it still may."""
+
+FIRST_BACK_OFF_SECONDS = 0.25
+MAX_BACK_OFF_SECONDS = 1.0
+"""Bounds of the pause after failures; a returned store has to be read within 2 s."""
+
+LEASE_MILLIS = 12_000
+"""Life of the own record; peers also find each other by heartbeats."""
+
+KEEP_SECONDS = 4.0
+"""Two renewals may fail before the lease ends."""
+
+
+class StoreReader:
+    """Reads the store while this balancer has to.
+
+    Parameters
+    ----------
+    steering : Steering
+        Takes changes and says who has to read.
+    client : StoreClient
+        Asks the store.
+    clock : callable
+        Returns the time.
+    random : Random
+        Source of jitter.
+    on_event : EventSink
+        Takes events.
+    """
+
+    def __init__(
+        self,
+        steering: Steering,
+        client: StoreClient,
+        *,
+        clock: Callable[[], Millis],
+        random: Random,
+        on_event: EventSink,
+    ) -> None:
+        self._steering = steering
+        self._client = client
+        self._clock = clock
+        self._on_event = on_event
+        self._back_off = BackOff(FIRST_BACK_OFF_SECONDS, MAX_BACK_OFF_SECONDS, random)
+        self._must_read_all = False
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether this balancer reads the store at present."""
+        now = self._clock()
+        return self._steering.members.is_reader(now, self._steering.confirmed_age(now))
+
+    def run(self) -> None:
+        """Read for ever."""
+        while True:
+            if not self.is_reading:
+                gevent.sleep(NOT_READER_SECONDS)
+                continue
+            gevent.sleep(self._read_once())
+
+    def _read_once(self) -> float:
+        """Make one call and return the seconds to wait after it."""
+        asked_at = self._clock()
+        revision = self._steering.replica.revision
+        if revision == 0 or self._must_read_all:
+            answer = self._client.read_all()
+        else:
+            answer = self._client.wait_changes(revision, WAIT_MILLIS)
+        if isinstance(answer, Refused):
+            return self._note_refusal(answer)
+        self._must_read_all = False
+        self._note_answer(answer, asked_at)
+        return GATHER_SECONDS if answer.records else 0.0
+
+    def _note_answer(self, answer: Difference, asked_at: Millis) -> None:
+        now = self._clock()
+        self._back_off.succeed()
+        if self._steering.store_health.note_answer(now):
+            self._on_event("store_back", revision=answer.revision)
+        self._steering.take(answer, now)
+        self._steering.confirm(asked_at if answer.is_whole else now)
+
+    def _note_refusal(self, refused: Refused) -> float:
+        if refused.kind is ErrorKind.HISTORY_GONE:
+            self._must_read_all = True
+            self._on_event("store_history_gone", detail=refused.detail)
+            return 0.0
+        if self._steering.store_health.note_failure():
+            self._on_event("store_lost", kind=refused.kind, detail=refused.detail)
+        return self._back_off.fail()
+
+
+class Registration:
+    """Keeps this balancer's own record in the store while it runs.
+
+    Parameters
+    ----------
+    client : StoreClient
+        Asks the store.
+    name : str
+        Name of this balancer.
+    value : bytes
+        What the others read.
+    random : Random
+        Source of jitter.
+    on_event : EventSink
+        Takes events.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        name: str,
+        value: bytes,
+        *,
+        random: Random,
+        on_event: EventSink,
+    ) -> None:
+        self._client = client
+        self._name = name
+        self._value = value
+        self._random = random
+        self._on_event = on_event
+        self._back_off = BackOff(1.0, KEEP_SECONDS, random)
+        self._lease: int | None = None
+
+    def run(self) -> None:
+        """Register and renew for ever."""
+        while True:
+            refused = self._step()
+            if isinstance(refused, Refused):
+                gevent.sleep(self._back_off.fail())
+            else:
+                self._back_off.succeed()
+                gevent.sleep(KEEP_SECONDS * self._random.uniform(0.8, 1.0))
+
+    def end(self) -> None:
+        """Take the own record away; a lost call leaves that to the lease."""
+        if self._lease is not None:
+            self._client.end_lease(self._lease)
+            self._lease = None
+
+    def _step(self) -> None | Refused:
+        if self._lease is not None:
+            refused = self._client.keep_lease(self._lease)
+            if isinstance(refused, Refused) and refused.kind is ErrorKind.NOT_FOUND:
+                self._on_event("lease_ended", lease=self._lease)
+                self._lease = None
+            else:
+                return refused
+        lease = self._client.start_lease(LEASE_MILLIS)
+        if isinstance(lease, Refused):
+            return lease
+        refused = self._client.put_member(self._name, self._value, lease)
+        if not isinstance(refused, Refused):
+            self._lease = lease
+            self._on_event("registered", lease=lease)
+        return refused
--- a/packages/stoattray-core/src/stoattray_core/_errors.py
+++ b/packages/stoattray-core/src/stoattray_core/_errors.py
@@ -21,7 +21,12 @@
     PACKET_HAS_OPTIONS = "packet_has_options"
     PACKET_FRAGMENT = "packet_fragment"
     PACKET_BAD_PROTOCOL = "packet_bad_protocol"
+    PACKET_NOT_FROM_CALLER = "packet_not_from_caller"
+    UNKNOWN_COOKIE = "unknown_cookie"
+    ENTRY_MALFORMED = "entry_malformed"
+    HISTORY_GONE = "history_gone"
     UNKNOWN_ADDRESS = "unknown_address"
+    NO_ROUTE = "no_route"
     NO_BACKEND_SERVER = "no_backend_server"
     BACKEND_SERVER_DEAD = "backend_server_dead"
     FLOW_REUSED = "flow_reused"
@@ -73,7 +78,12 @@
     ErrorKind.PACKET_HAS_OPTIONS: Answer(),
     ErrorKind.PACKET_FRAGMENT: Answer(),
     ErrorKind.PACKET_BAD_PROTOCOL: Answer(),
+    ErrorKind.PACKET_NOT_FROM_CALLER: Answer(),
+    ErrorKind.UNKNOWN_COOKIE: Answer(),
+    ErrorKind.ENTRY_MALFORMED: Answer(),
+    ErrorKind.HISTORY_GONE: Answer(410, 5),
     ErrorKind.UNKNOWN_ADDRESS: Answer(),
+    ErrorKind.NO_ROUTE: Answer(404, 1, PacketAnswer.RESET),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, 1, PacketAnswer.RESET),
     ErrorKind.BACKEND_SERVER_DEAD: Answer(502, 1, PacketAnswer.RESET),
     ErrorKind.FLOW_REUSED: Answer(503, 1, PacketAnswer.RESET),
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -0,0 +1,184 @@
+"""Other balancers: who is heard, who reads the store, whom to tell.
+
+Members are learned from the store, from seeds and from each other. In each data
+centre the first live member by name reads the store, and the others take its
+changes; a member whose copy is no longer confirmed reads for itself, whoever
+else should.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from stoattray_core._identifiers import Millis
+from stoattray_core.steering.entries import MemberEntry
+
+HEARD_MILLIS = 1_000
+"""A member is live if heard within this time: five heartbeats in its data centre."""
+
+CONFIRMED_MILLIS = 1_300
+"""Age of a confirmed copy from which on a member reads for itself; drains and
+configuration have to be in force within 3 s, and a read takes a few milliseconds."""
+
+FORGET_MILLIS = 60_000
+"""Members unheard for this long are no longer told anything."""
+
+N_NEAR_TOLD = 8
+"""Members of the own data centre told each heartbeat; bounds messages per member."""
+
+N_FAR_TOLD = 2
+"""Members elsewhere told each heartbeat; bytes between data centres are priced."""
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a balancer tells the others of itself.
+
+    Parameters
+    ----------
+    member : MemberEntry
+        Who it is.
+    is_ready : bool
+        Whether it can forward.
+    is_reader : bool
+        Whether it reads the store.
+    revision : int
+        Revision up to which its copy is complete.
+    confirmed_age : Millis
+        How long ago the store confirmed that.
+    return_age : Millis or None
+        How long ago the store came back after trouble.
+    open_flows : dict of int to int
+        Its open flows by cookie of the server.
+    known : tuple of MemberEntry
+        Some members that it hears.
+    """
+
+    member: MemberEntry
+    is_ready: bool
+    is_reader: bool
+    revision: int
+    confirmed_age: Millis
+    return_age: Millis | None
+    open_flows: dict[int, int]
+    known: tuple[MemberEntry, ...] = ()
+
+
+@dataclass(slots=True)
+class MemberRow:
+    """One other balancer as seen from here."""
+
+    entry: MemberEntry
+    heard_at: Millis | None = None
+    learned_at: Millis = 0
+    is_ready: bool = False
+    is_reader: bool = False
+    revision: int = 0
+    confirmed_at: Millis | None = None
+
+
+class MemberTable:
+    """Rows by name, without this balancer itself.
+
+    Parameters
+    ----------
+    own : MemberEntry
+        This balancer.
+    random : Random
+        Draws whom to tell.
+    """
+
+    def __init__(self, own: MemberEntry, random: Random) -> None:
+        self._own = own
+        self._random = random
+        self._rows: dict[str, MemberRow] = {}
+
+    @property
+    def rows(self) -> Iterable[MemberRow]:
+        """Return all rows."""
+        return self._rows.values()
+
+    def learn(self, entry: MemberEntry, now: Millis) -> None:
+        """Take that a member exists; an older incarnation changes nothing."""
+        if entry.name == self._own.name:
+            return
+        row = self._rows.get(entry.name)
+        if row is None:
+            self._rows[entry.name] = MemberRow(entry, learned_at=now)
+        elif entry.incarnation > row.entry.incarnation:
+            row.entry = entry
+            row.learned_at = now
+
+    def hear(self, heartbeat: Heartbeat, now: Millis) -> bool:
+        """Take a heartbeat; return whether its sender was not live before."""
+        entry = heartbeat.member
+        if entry.name == self._own.name:
+            return False
+        self.learn(entry, now)
+        row = self._rows[entry.name]
+        if entry.incarnation < row.entry.incarnation:
+            return False
+        was_live = self._is_live(row, now)
+        row.heard_at = now
+        row.is_ready = heartbeat.is_ready
+        row.is_reader = heartbeat.is_reader
+        row.revision = heartbeat.revision
+        row.confirmed_at = now - heartbeat.confirmed_age
+        for known in heartbeat.known:
+            self.learn(known, now)
+        return not was_live
+
+    def live(self, now: Millis) -> list[MemberRow]:
+        """Return the members that are heard."""
+        return [row for row in self._rows.values() if self._is_live(row, now)]
+
+    def near(self, now: Millis) -> list[MemberRow]:
+        """Return the live members of the own data centre."""
+        own = self._own.data_centre
+        return [row for row in self.live(now) if row.entry.data_centre == own]
+
+    def is_reader(self, now: Millis, confirmed_age: Millis) -> bool:
+        """Return whether this balancer has to read the store itself.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        confirmed_age : Millis
+            How long ago the own copy was confirmed, by the store or by a peer.
+        """
+        if confirmed_age > CONFIRMED_MILLIS:
+            return True
+        return not any(
+            row.entry.name < self._own.name
+            and row.confirmed_at is not None
+            and now - row.confirmed_at <= CONFIRMED_MILLIS
+            and row.is_reader
+            for row in self.near(now)
+        )
+
+    def draw_told(self, now: Millis, *, with_far: bool) -> list[MemberEntry]:
+        """Return whom to send the next heartbeat."""
+        near: list[MemberEntry] = []
+        far: list[MemberEntry] = []
+        for row in self._rows.values():
+            last = row.learned_at if row.heard_at is None else row.heard_at
+            if now - max(last, row.learned_at) > FORGET_MILLIS:
+                continue
+            is_near = row.entry.data_centre == self._own.data_centre
+            (near if is_near else far).append(row.entry)
+        told = self._draw(near, N_NEAR_TOLD)
+        return told + self._draw(far, N_FAR_TOLD) if with_far else told
+
+    def draw_known(self, now: Millis, n_members: int) -> tuple[MemberEntry, ...]:
+        """Return some live members for others to learn of."""
+        live = [row.entry for row in self.live(now)]
+        return tuple(self._draw(live, n_members))
+
+    def _draw(self, entries: list[MemberEntry], n_members: int) -> list[MemberEntry]:
+        if len(entries) <= n_members:
+            return entries
+        return self._random.sample(entries, n_members)
+
+    def _is_live(self, row: MemberRow, now: Millis) -> bool:
+        return row.heard_at is not None and now - row.heard_at <= HEARD_MILLIS
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -0,0 +1,202 @@
+"""Backend servers as this balancer believes them to be.
+
+A server that vanished from the store is gone at once, unless the store was unwell
+shortly before: then its record may only have lapsed, and it stays usable until the
+store has been well for long enough for live servers to write themselves again.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from stoattray_core._identifiers import Address, Millis
+from stoattray_core.steering.cookies import CookieTable
+from stoattray_core.steering.entries import BackendServerEntry
+
+FIRST_RETURN_MILLIS = 2_600
+"""Live servers write themselves again within about 2 s of the store's return."""
+
+MIN_CAPACITY = 0.5
+"""Least share of a slot that counts; keeps costs finite for odd entries."""
+
+COLD_CAPACITY_SHARE = 0.6
+"""Capacity of a server that has just started; cold ones take 1.6 times as long."""
+
+
+class Presence(Enum):
+    """Whether a server's record stands in the store."""
+
+    LISTED = "listed"
+    LAPSED = "lapsed"
+    GONE = "gone"
+
+
+@dataclass(slots=True, eq=False)
+class ServerRow:
+    """One backend server and what this balancer has seen of it.
+
+    Parameters
+    ----------
+    entry : BackendServerEntry
+        What it last said.
+    cookie : int
+        Names it in packets.
+    warm_at : Millis
+        When it stops being slow.
+    presence : Presence
+        Whether it is in the store.
+    n_open : int
+        Flows that this balancer opened there and that have not ended.
+    n_unanswered : int
+        Of these, flows whose caller has not gone on yet.
+    peer_load : float
+        Open flows that other balancers tell of.
+    """
+
+    entry: BackendServerEntry
+    cookie: int
+    warm_at: Millis
+    presence: Presence = Presence.LISTED
+    n_open: int = 0
+    n_unanswered: int = 0
+    peer_load: float = 0.0
+    suspect_until: Millis = 0
+    n_silent: int = 0
+    last_answer_at: Millis = 0
+    heard_at: Millis = 0
+    slowness: float = 1.0
+    address: Address = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.address = self.entry.address
+
+    @property
+    def name(self) -> str:
+        """Return the server's name."""
+        return self.entry.name
+
+    @property
+    def takes_new(self) -> bool:
+        """Return whether new flows may be opened there."""
+        return self.presence is not Presence.GONE and not self.entry.is_draining
+
+    def capacity(self, now: Millis) -> float:
+        """Return how many requests it works on at once, in warm slots."""
+        slots = max(MIN_CAPACITY, float(self.entry.capacity))
+        return slots * COLD_CAPACITY_SHARE if now < self.warm_at else slots
+
+    def is_suspect(self, now: Millis) -> bool:
+        """Return whether it lately left opening packets unanswered."""
+        return now < self.suspect_until
+
+
+class ServerTable:
+    """Rows by name, by cookie and by service.
+
+    Parameters
+    ----------
+    linger : Millis
+        How long cookies are read after a server has gone.
+    """
+
+    def __init__(self, linger: Millis) -> None:
+        self._rows: dict[str, ServerRow] = {}
+        self._lingering: dict[str, ServerRow] = {}
+        self._services: dict[str, list[ServerRow]] = {}
+        self._cookies = CookieTable(linger)
+        self._lapsed: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[ServerRow]:
+        return iter(self._rows.values())
+
+    def get(self, name: str) -> ServerRow | None:
+        """Return a listed or lapsed server."""
+        return self._rows.get(name)
+
+    def of_service(self, service: str) -> list[ServerRow]:
+        """Return the servers of a service, draining ones included."""
+        return self._services.get(service, [])
+
+    def by_cookie(self, cookie: int) -> ServerRow | None:
+        """Return the server that a packet names, also when it has gone lately."""
+        name = self._cookies.read(cookie)
+        if name is None:
+            return None
+        return self._rows.get(name) or self._lingering.get(name)
+
+    def put(self, entry: BackendServerEntry, now: Millis) -> ServerRow:
+        """Take what a backend server says of itself."""
+        row = self._rows.get(entry.name)
+        if row is not None and row.entry.service != entry.service:
+            self._services[row.entry.service].remove(row)
+            row = None
+        if row is None or row.entry.born != entry.born:
+            row = self._start(entry, row)
+        row.entry = entry
+        row.address = entry.address
+        row.warm_at = now + entry.warmup
+        row.presence = Presence.LISTED
+        row.heard_at = now
+        row.cookie = self._cookies.cookie(entry.name)
+        self._lapsed.discard(entry.name)
+        return row
+
+    def vanish(self, name: str, now: Millis, *, may_be_lapsed: bool) -> Presence | None:
+        """Note that a server's record is no longer in the store.
+
+        Parameters
+        ----------
+        name : str
+            Name of the server.
+        now : Millis
+            Current time.
+        may_be_lapsed : bool
+            Whether the store was unwell, so that the record may have lapsed.
+
+        Returns
+        -------
+        Presence or None
+            What is believed of it now; None if it was unknown.
+        """
+        row = self._rows.get(name)
+        if row is None:
+            return None
+        if may_be_lapsed and not row.entry.is_draining:
+            row.presence = Presence.LAPSED
+            self._lapsed.add(name)
+            return Presence.LAPSED
+        self._remove(row, now)
+        return Presence.GONE
+
+    def end_lapses(self, now: Millis) -> list[str]:
+        """Remove the servers whose records did not come back; return their names."""
+        names = sorted(self._lapsed)
+        for name in names:
+            self._remove(self._rows[name], now)
+        return names
+
+    def expire(self, now: Millis) -> None:
+        """Forget the cookies of servers that have been gone for long."""
+        for name in self._cookies.expire(now):
+            self._lingering.pop(name, None)
+
+    def _start(self, entry: BackendServerEntry, before: ServerRow | None) -> ServerRow:
+        if before is not None:
+            self._services[before.entry.service].remove(before)
+        self._cookies.add(entry.name, entry.born)
+        row = ServerRow(entry, self._cookies.cookie(entry.name), 0)
+        self._rows[entry.name] = row
+        self._lingering.pop(entry.name, None)
+        self._services.setdefault(entry.service, []).append(row)
+        return row
+
+    def _remove(self, row: ServerRow, now: Millis) -> None:
+        row.presence = Presence.GONE
+        self._lapsed.discard(row.name)
+        del self._rows[row.name]
+        self._lingering[row.name] = row
+        self._services[row.entry.service].remove(row)
+        self._cookies.remove(row.name, now)
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -0,0 +1,418 @@
+"""Decisions of a balancer with cookie placement, for one packet or tick at a time.
+
+Invariants:
+
+1. A flow has one backend server. Its packets carry that server's cookie, so
+   every balancer sends them there.
+2. The intended server is named in front of each packet.
+3. The configuration's version never falls within one process.
+4. Only an opening packet whose flow cannot be open anywhere is reset, and only
+   once a configuration is known.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from random import Random
+from typing import NamedTuple, Protocol
+
+from stoattray_core._errors import ErrorKind
+from stoattray_core._identifiers import Millis
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.entries import (
+    BackendServerEntry,
+    Configuration,
+    Entry,
+    MemberEntry,
+)
+from stoattray_core.steering.flows import FlowRow, FlowTable
+from stoattray_core.steering.members import Heartbeat, MemberTable
+from stoattray_core.steering.replica import Difference, Record, Replica
+from stoattray_core.steering.selection import Selection, pick_service
+from stoattray_core.steering.servers import (
+    FIRST_RETURN_MILLIS,
+    Presence,
+    ServerRow,
+    ServerTable,
+)
+from stoattray_core.steering.store_health import StoreHealth
+from stoattray_core.steering.suspicion import Suspicion
+
+FROZEN_MILLIS = 200
+"""A longer pause between two ticks says nothing about servers; ticks come each 5 ms."""
+
+MAX_TRIED = 4
+"""Servers that one opening packet is sent to; callers give up after 1.4 s."""
+
+UNANSWERED_MILLIS = 1_500
+"""Callers give up an unanswered opening after 1.4 s."""
+
+FRESH_MILLIS = 2_000
+"""A copy confirmed within this time decides that a destination has no route."""
+
+NO_ROUTE = Refused(ErrorKind.NO_ROUTE)
+NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
+NOT_READY = Refused(ErrorKind.NOT_READY)
+UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
+STALE_ROUTES = Refused(ErrorKind.UNKNOWN_ADDRESS)
+OPEN_ELSEWHERE = Refused(ErrorKind.NO_OWNER)
+
+
+class Packet(NamedTuple):
+    """One packet of a caller.
+
+    Parameters
+    ----------
+    key : bytes
+        Caller's and service's address and port.
+    destination : bytes
+        Service's address (4 bytes) and port (2 bytes).
+    cookie : int
+        Names the flow's server; 0 in opening packets.
+    is_opening, is_ending : bool
+        Whether the caller opens the flow, or ends its side of it.
+    n_copy : int
+        How often this opening packet was sent before.
+    data : bytes
+        The packet as it came.
+    """
+
+    key: bytes
+    destination: bytes
+    cookie: int
+    is_opening: bool
+    is_ending: bool
+    n_copy: int
+    data: bytes
+
+
+class Decoder(Protocol):
+    """Reads records of the platform's store."""
+
+    def decode(self, record: Record) -> Entry | Refused | None:
+        """Return what a record declares; None if it is none of ours."""
+
+    def backend_server_name(self, key: str) -> str | None:
+        """Return the server whose record stands under `key`, or None."""
+
+
+class EventSink(Protocol):
+    """Takes what an operator may want to read."""
+
+    def __call__(self, name: str, **fields: str | int | float | bool | None) -> None:
+        """Write one event."""
+
+
+class Steering:
+    """Tables of one balancer and the systems that run over them.
+
+    Parameters
+    ----------
+    own : MemberEntry
+        This balancer.
+    decoder : Decoder
+        Reads records.
+    flow_life : Millis
+        How long a flow may last; cookies are read for so long.
+    random : Random
+        Decides between equals.
+    on_event : EventSink
+        Takes events.
+    """
+
+    def __init__(
+        self,
+        own: MemberEntry,
+        *,
+        decoder: Decoder,
+        flow_life: Millis,
+        random: Random,
+        on_event: EventSink,
+    ) -> None:
+        self.members = MemberTable(own, random)
+        self.servers = ServerTable(flow_life)
+        self.store_health = StoreHealth(FIRST_RETURN_MILLIS)
+        self.replica = Replica()
+        self.counters: Counter[str] = Counter()
+        self._decoder = decoder
+        self._random = random
+        self._on_event = on_event
+        self._configuration: Configuration | None = None
+        self._selection = Selection(own.data_centre, random)
+        self._suspicion = Suspicion()
+        self._flows = FlowTable()
+        self._confirmed_at: Millis | None = None
+        self._ticked_at: Millis | None = None
+        self._peer_loads: dict[str, list[tuple[ServerRow, int]]] = {}
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, or None before the first."""
+        return self._configuration
+
+    @property
+    def n_flows(self) -> int:
+        """Return how many flows that were opened here are open."""
+        return len(self._flows)
+
+    @property
+    def n_waiting(self) -> int:
+        """Return how many opening packets wait for a follow-up."""
+        return self._flows.n_waiting
+
+    @property
+    def patience(self) -> Millis:
+        """Return how long an opening packet may stay without follow-up."""
+        return self._suspicion.patience
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether packets can be forwarded."""
+        return self._configuration is not None and len(self.servers) > 0
+
+    def confirmed_age(self, now: Millis) -> Millis:
+        """Return how long ago the copy of the store was known to be complete."""
+        return now if self._confirmed_at is None else now - self._confirmed_at
+
+    def confirm(self, at: Millis) -> None:
+        """Note that the copy was complete at a time."""
+        if self._confirmed_at is None or at > self._confirmed_at:
+            self._confirmed_at = at
+
+    def open_flows(self) -> dict[int, int]:
+        """Return the open flows of this balancer by cookie of the server."""
+        return {row.cookie: row.n_open for row in self.servers if row.n_open > 0}
+
+    def take(self, difference: Difference, now: Millis) -> None:
+        """Take changes from the store or a peer."""
+        for record in self.replica.merge(difference):
+            self._apply(record, now)
+
+    def take_heartbeat(self, heartbeat: Heartbeat, now: Millis) -> bool:
+        """Take what a peer tells; return whether it was not heard before."""
+        is_news = self.members.hear(heartbeat, now)
+        self._count_peer_load(heartbeat)
+        if heartbeat.return_age is not None:
+            self.store_health.note_peer_return(heartbeat.return_age, now)
+        if heartbeat.revision == self.replica.revision:
+            self.confirm(now - heartbeat.confirmed_age)
+        return is_news
+
+    def take_from_peer(
+        self, heartbeat: Heartbeat, difference: Difference, now: Millis
+    ) -> None:
+        """Take what a peer knows and this balancer does not."""
+        self.take_heartbeat(heartbeat, now)
+        if difference.revision >= self.replica.revision:
+            self.take(difference, now)
+            self.confirm(now - heartbeat.confirmed_age)
+
+    def route_packet(self, packet: Packet, now: Millis) -> ServerRow | Refused:
+        """Return the backend server of a packet, or why it has none."""
+        flow = self._flows.get(packet.key)
+        if packet.is_opening:
+            return self._route_opening(packet, flow, now)
+        if flow is None:
+            server = self.servers.by_cookie(packet.cookie)
+            return server if server is not None else UNKNOWN_COOKIE
+        flow.last_at = now
+        if not flow.has_followed:
+            self._pin(flow, packet, now)
+        if packet.is_ending:
+            self._flows.close(flow)
+        return flow.server
+
+    def tick(self, now: Millis) -> Iterator[tuple[ServerRow, bytes]]:
+        """Run what is due; yield opening packets to be sent to a further server."""
+        was_frozen = (
+            self._ticked_at is not None and now - self._ticked_at > FROZEN_MILLIS
+        )
+        if was_frozen:
+            self._on_event("woke", pause_ms=now - (self._ticked_at or 0))
+        self._ticked_at = now
+        for flow in self._flows.take_overdue(now):
+            if was_frozen:
+                flow.judge_at = now + self.patience
+                self._flows.wait(flow)
+                continue
+            again = self._judge_silent(flow, now)
+            if again is not None:
+                yield again
+
+    def clean_up(self, now: Millis) -> None:
+        """Forget what is over; run about once a second."""
+        if self.store_health.is_settled(now):
+            for name in self.servers.end_lapses(now):
+                self._on_event("backend_server_gone", server=name, reason="lapsed")
+        self.servers.expire(now)
+        self._forget_silent_loads(now)
+        idle = self._configuration.idle_limit if self._configuration else 0
+        self._flows.expire(now, idle=idle, unanswered=UNANSWERED_MILLIS)
+
+    def _count_peer_load(self, heartbeat: Heartbeat) -> None:
+        """Replace what a peer told before of its open flows."""
+        name = heartbeat.member.name
+        for server, n_flows in self._peer_loads.pop(name, ()):
+            server.peer_load -= n_flows
+        told = []
+        for cookie, n_flows in heartbeat.open_flows.items():
+            server = self.servers.by_cookie(cookie)
+            if server is not None:
+                server.peer_load += n_flows
+                told.append((server, n_flows))
+        self._peer_loads[name] = told
+
+    def _forget_silent_loads(self, now: Millis) -> None:
+        live = {row.entry.name for row in self.members.live(now)}
+        for name in [name for name in self._peer_loads if name not in live]:
+            for server, n_flows in self._peer_loads.pop(name):
+                server.peer_load -= n_flows
+
+    def _route_opening(
+        self, packet: Packet, flow: FlowRow | None, now: Millis
+    ) -> ServerRow | Refused:
+        if flow is not None and flow.has_followed:
+            return flow.server
+        if not self.is_ready:
+            return NOT_READY
+        avoid = flow.tried if flow is not None else []
+        server = self._choose(packet.destination, now, avoid)
+        if isinstance(server, Refused):
+            return OPEN_ELSEWHERE if flow is not None or packet.n_copy else server
+        if flow is None:
+            self._open(packet, server, now)
+        else:
+            self._flows.retry(flow, server, now)
+            flow.last_at = now
+        return server
+
+    def _choose(
+        self, destination: bytes, now: Millis, avoid: list[ServerRow]
+    ) -> ServerRow | Refused:
+        assert self._configuration is not None
+        route = self._configuration.routes.get(destination)
+        if route is None:
+            is_fresh = self.confirmed_age(now) <= FRESH_MILLIS
+            return NO_ROUTE if is_fresh else STALE_ROUTES
+        rows = self.servers.of_service(pick_service(route, self._random))
+        server = self._selection.choose(rows, now, avoid=avoid)
+        return server if server is not None else NO_BACKEND_SERVER
+
+    def _open(self, packet: Packet, server: ServerRow, now: Millis) -> None:
+        self.counters["flows_opened"] += 1
+        flow = FlowRow(
+            key=packet.key,
+            server=server,
+            sent_at=now,
+            opening=packet.data,
+            last_at=now,
+            judge_at=now + self.patience,
+            tried=[server],
+            destination=packet.destination,
+        )
+        self._flows.open(flow)
+
+    def _pin(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
+        """Fix the server of a flow by the first packet that follows its opening.
+
+        With several servers asked, that packet's cookie names the one whose answer
+        it acknowledges; later answers may change the cookie, but not the flow.
+        """
+        named = self.servers.by_cookie(packet.cookie)
+        if named is not None and named is not flow.server:
+            self._flows.move(flow, named)
+        waited = now - flow.sent_at if len(flow.tried) == 1 else None
+        if self._suspicion.note_answer(flow.server, waited, now):
+            self._on_event("backend_server_answers", server=flow.server.name)
+        self._flows.follow(flow)
+
+    def _judge_silent(
+        self, flow: FlowRow, now: Millis
+    ) -> tuple[ServerRow, bytes] | None:
+        silent = flow.server
+        self.counters["openings_silent"] += 1
+        if self._suspicion.note_silence(silent, flow.sent_at, now):
+            self._on_event(
+                "backend_server_silent",
+                server=silent.name,
+                waited_ms=now - flow.sent_at,
+                n_silent=silent.n_silent,
+                heard_age_ms=now - silent.heard_at,
+            )
+        if len(flow.tried) >= MAX_TRIED or flow.opening is None:
+            return None
+        server = self._choose(flow.destination, now, flow.tried)
+        if isinstance(server, Refused) or server in flow.tried:
+            return None
+        self.counters["openings_tried_again"] += 1
+        self._flows.retry(flow, server, now)
+        flow.judge_at = now + self.patience
+        self._flows.wait(flow)
+        return server, flow.opening
+
+    def _apply(self, record: Record, now: Millis) -> None:
+        if record.value is None:
+            self._remove(record, now)
+            return
+        entry = self._decoder.decode(record)
+        if isinstance(entry, Configuration):
+            self._install(entry, record, now)
+        elif isinstance(entry, BackendServerEntry):
+            self._put_server(entry, record, now)
+        elif isinstance(entry, MemberEntry):
+            self.members.learn(entry, now)
+        elif isinstance(entry, Refused):
+            self.counters["records_malformed"] += 1
+            self._on_event(
+                "record_malformed",
+                key=record.key,
+                revision=record.revision,
+                reason=entry.detail,
+            )
+            self._remove(record, now)
+
+    def _install(self, entry: Configuration, record: Record, now: Millis) -> None:
+        held = self._configuration
+        if held is not None and entry.version <= held.version:
+            self._on_event(
+                "configuration_refused", version=entry.version, held=held.version
+            )
+            return
+        self._configuration = entry
+        self._on_event(
+            "configuration_in_force",
+            version=entry.version,
+            revision=record.revision,
+            n_routes=len(entry.routes),
+        )
+
+    def _put_server(
+        self, entry: BackendServerEntry, record: Record, now: Millis
+    ) -> None:
+        before = self.servers.get(entry.name)
+        was_draining = before is not None and before.entry.is_draining
+        self.servers.put(entry, now)
+        if before is None or entry.is_draining != was_draining:
+            self._on_event(
+                "backend_server",
+                server=entry.name,
+                service=entry.service,
+                state="draining" if entry.is_draining else "ready",
+                revision=record.revision,
+                warmup_ms=entry.warmup,
+            )
+
+    def _remove(self, record: Record, now: Millis) -> None:
+        name = self._decoder.backend_server_name(record.key)
+        if name is None:
+            return
+        presence = self.servers.vanish(
+            name, now, may_be_lapsed=not self.store_health.is_settled(now)
+        )
+        if presence is not None:
+            reason = "lapsed" if presence is Presence.LAPSED else "removed"
+            self._on_event(
+                "backend_server_gone",
+                server=name,
+                reason=reason,
+                revision=record.revision,
+            )
