lean start: sockets bound before the program loads, no data classes on its way

Cause: after a power loss of all balancers no request is served until routers ask for readiness again, up to half a second after a balancer is ready, and imports take 0.17 s of processor time on VMs of half a core.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
@@ -6,7 +6,6 @@
 
 import socket as sockets
 from collections.abc import Callable
-from urllib.parse import quote
 
 import gevent
 import httptools
@@ -145,10 +144,19 @@
 
 def query(path: str, **parameters: str | int) -> str:
     """Return `path` with a query string."""
-    pairs = [f"{name}={quote(str(value))}" for name, value in parameters.items()]
+    pairs = [f"{name}={_quoted(str(value))}" for name, value in parameters.items()]
     return path + "?" + "&".join(pairs)
 
 
+def _quoted(text: str) -> str:
+    """Quote `text`; urllib is loaded for it only where it is needed."""
+    if not text or text.isalnum() and text.isascii():
+        return text
+    from urllib.parse import quote
+
+    return quote(text, safe="")
+
+
 class _RequestReader:
     """Collects one request from the parser's callbacks."""
 
@@ -168,8 +176,16 @@
 """Takes a path and returns status and body."""
 
 
-def http_server(address: Address, answer: Answerer) -> StreamServer:
-    """Return a server that answers each request by its path; not yet started."""
+def http_server(listener: Address | sockets.socket, answer: Answerer) -> StreamServer:
+    """Return a server that answers each request by its path; not yet started.
+
+    Parameters
+    ----------
+    listener : Address or socket.socket
+        Where to listen, or a socket that listens already and is taken over.
+    answer : Answerer
+        May wait.
+    """
 
     def serve(connection: socket.socket, _: Address) -> None:
         try:
@@ -180,7 +196,9 @@
         finally:
             connection.close()
 
-    return StreamServer(address, serve, backlog=BACKLOG)
+    if isinstance(listener, sockets.socket):
+        return StreamServer(socket.socket(fileno=listener.detach()), serve)
+    return StreamServer(listener, serve, backlog=BACKLOG)
 
 
 def _serve_one(connection: socket.socket, answer: Answerer) -> bool:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
@@ -19,9 +19,6 @@
 BATCH_PACKETS = 64
 """Packets taken before other work gets its turn."""
 
-RECEIVE_BUFFER_BYTES = 1_048_576
-"""Holds about a second of opening packets; unread bytes count as memory."""
-
 TICK_SECONDS = 0.005
 REST_TICK_SECONDS = 0.05
 """Pause between ticks while openings wait for a follow-up, and while none do."""
@@ -54,7 +51,7 @@
         Decides.
     header : Header
         Reads and writes packets.
-    address : Address
+    bound : socket.socket
         Where callers' packets come in; callers take packets at the same port.
     clock : callable
         Returns the time.
@@ -66,24 +63,19 @@
         self,
         steering: Steering,
         header: Header,
-        address: Address,
+        bound: socket.socket,
         *,
         clock: Callable[[], Millis],
         on_event: EventSink,
     ) -> None:
         self._steering = steering
         self._header = header
-        self._port = address[1]
+        self._port = bound.getsockname()[1]
         self._clock = clock
         self._on_event = on_event
         self.counters: Counter[str] = Counter()
         self.last_packet_at: Millis = 0
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self._socket.setblocking(False)
-        self._socket.bind(address)
+        self._socket = bound
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
 
     def start(self) -> None:
@@ -100,7 +92,8 @@
         """Judge openings without follow-up for ever."""
         cleaned_at = self._clock()
         while True:
-            self._receive()
+            if self._watcher.active:
+                self._receive()
             now = self._clock()
             for server, data in self._steering.tick(now):
                 self._forward(server, data)
@@ -122,6 +115,8 @@
             self._take(data)
 
     def _take(self, data: bytes) -> None:
+        if self.last_packet_at == 0:
+            self._on_event("first_packet")
         packet = self._header.read(data)
         if isinstance(packet, Refused):
             self._refuse(packet, data)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -5,16 +5,17 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from pathlib import Path
 from random import Random
 
 import gevent
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from stoattray_balancer._logs import log_event, set_up_logging
 from stoattray_balancer.steering._http import http_server
 from stoattray_balancer.steering._peer_codec import encode_member
 from stoattray_balancer.steering.datagrams import DatagramPath, Header
+from stoattray_balancer.steering.early_sockets import EarlySockets
 from stoattray_balancer.steering.peers import Peers
 from stoattray_balancer.steering.settings import (
     SteeringSettings,
@@ -37,6 +38,12 @@
 """Routers take two missed checks, half a second apart, to turn away."""
 
 STOP_CHECK_SECONDS = 0.05
+
+READY_HOLD_SECONDS = 0.4
+"""A readiness check that comes during the start is answered as soon as ready; it is
+held for less than the half second after which routers ask again."""
+
+READY_CHECK_SECONDS = 0.005
 SETTINGS_CHECK_SECONDS = 1.0
 """How often the settings file is looked at; it may change without a signal."""
 
@@ -66,7 +73,7 @@
 
     Parameters
     ----------
-    path : Path
+    path : str
         Settings file.
     header : Header
         Reads and writes packets.
@@ -76,20 +83,25 @@
         Makes a client of the store from settings.
     readiness_path : str
         Path that routers ask for readiness.
+    sockets : EarlySockets
+        Bound before the program was loaded.
     """
 
     def __init__(
         self,
-        path: Path,
+        path: str,
         *,
         header: Header,
         decoder: Decoder,
         client: Callable[[SteeringSettings], StoreClient],
         readiness_path: str,
+        sockets: EarlySockets,
     ) -> None:
         self._path = path
         self._settings = load_steering_settings(path)
         self._readiness_path = readiness_path
+        self._sockets = sockets
+        self._ready = Event()
         self._random = Random()
         settings = self._settings
         self._own = MemberEntry(
@@ -108,7 +120,7 @@
         self._datagrams = DatagramPath(
             self._steering,
             header,
-            settings.datagram,
+            sockets.datagram,
             clock=boot_millis,
             on_event=log_event,
         )
@@ -157,11 +169,14 @@
     def _wait_ready(self) -> None:
         started = boot_millis()
         while not self._steering.is_ready and not self._is_stopping:
-            gevent.sleep(0.005)
+            gevent.sleep(READY_CHECK_SECONDS)
+        self._datagrams.start()
+        self._ready.set()
         log_event("ready", waited_ms=boot_millis() - started)
 
     def _answer_http(self, path: str) -> tuple[int, str]:
         if path == self._readiness_path:
+            self._ready.wait(READY_HOLD_SECONDS)
             is_ready = self._steering.is_ready and not self._is_stopping
             return (200, "ready\n") if is_ready else (503, "not ready\n")
         return 404, "not found\n"
@@ -203,7 +218,6 @@
 
     @contextmanager
     def _paths(self) -> Iterator[None]:
-        self._datagrams.start()
         self._peers.start()
         try:
             yield
@@ -215,7 +229,7 @@
     def _servers(self) -> Iterator[None]:
         settings = self._settings
         servers: list[StreamServer] = [
-            http_server(settings.readiness, self._answer_http),
+            http_server(self._sockets.readiness, self._answer_http),
             http_server(settings.metrics, self._answer_http),
             self._peers.server((settings.host, settings.peer_port)),
         ]
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -1,9 +1,7 @@
 """Settings of a balancer with cookie placement, checked without heavy libraries."""
 
 import json
-from dataclasses import dataclass
-from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from stoattray_core._errors import ErrorKind, StoattrayError
 from stoattray_core._identifiers import Address
@@ -11,8 +9,7 @@
 _UNSET = object()
 
 
-@dataclass(frozen=True, slots=True)
-class SteeringSettings:
+class SteeringSettings(NamedTuple):
     """Checked settings; `docs/operators/settings.md` gives unit and range of each."""
 
     member: str
@@ -32,7 +29,7 @@
     grace_ms: int
 
 
-def load_steering_settings(path: Path) -> SteeringSettings:
+def load_steering_settings(path: str) -> SteeringSettings:
     """Read and check a settings file.
 
     Raises
@@ -41,7 +38,8 @@
         If the file can't be read, or a setting is missing or out of range.
     """
     try:
-        values = json.loads(path.read_text())
+        with open(path, encoding="utf-8") as file:
+            values = json.load(file)
     except (OSError, ValueError) as error:
         raise _invalid(f"{path}: {error}") from error
     if not isinstance(values, dict):
--- a/packages/stoattray-core/src/stoattray_core/_errors.py
+++ b/packages/stoattray-core/src/stoattray_core/_errors.py
@@ -1,7 +1,7 @@
 """The closed list of error kinds and the table from kind to answer."""
 
-from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 
 class PacketAnswer(StrEnum):
@@ -51,8 +51,7 @@
     INTERNAL = "internal"
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(NamedTuple):
     """What each side is told about an error.
 
     Parameters
--- a/packages/stoattray-core/src/stoattray_core/_sentinel.py
+++ b/packages/stoattray-core/src/stoattray_core/_sentinel.py
@@ -1,12 +1,11 @@
 """Sentinel values that carry the reason for a missing result."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from stoattray_core._errors import ErrorKind
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(NamedTuple):
     """Stands in for a result that could not be given.
 
     Parameters
--- a/packages/stoattray-core/src/stoattray_core/steering/entries.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/entries.py
@@ -1,7 +1,7 @@
 """What operators, backend servers and balancers have declared, as typed rows."""
 
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from stoattray_core._identifiers import Address, Millis
 
@@ -14,8 +14,7 @@
     DOWNLOAD = "download"
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(NamedTuple):
     """A destination of callers' packets and the services behind it.
 
     Parameters
@@ -36,8 +35,7 @@
     kind: RequestKind
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(NamedTuple):
     """One accepted version of what operators declared.
 
     Parameters
@@ -55,8 +53,7 @@
     idle_limit: Millis
 
 
-@dataclass(frozen=True, slots=True)
-class BackendServerEntry:
+class BackendServerEntry(NamedTuple):
     """What a backend server says of itself.
 
     Parameters
@@ -92,8 +89,7 @@
     born: int
 
 
-@dataclass(frozen=True, slots=True)
-class MemberEntry:
+class MemberEntry(NamedTuple):
     """What a balancer says of itself to the others.
 
     Parameters
--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -5,13 +5,11 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.servers import ServerRow
 
 
-@dataclass(slots=True, eq=False)
 class FlowRow:
     """One flow that was opened here.
 
@@ -21,31 +19,47 @@
         Caller's and service's address and port.
     server : ServerRow
         Where the latest opening packet went, or, once answered, where it is open.
-    sent_at : Millis
-        When the latest server got the opening packet.
-    opening : bytes or None
-        The opening packet while nothing has followed.
-    tried : list of ServerRow
-        All servers that got an opening packet.
-    last_at : Millis
-        When the caller was last heard.
-    judge_at : Millis
-        When silence after the opening tells of the server.
     destination : bytes
         Service's address and port.
-    has_followed : bool
-        Whether the caller has gone on.
+    opening : bytes
+        The opening packet; kept until the caller goes on.
+    now : Millis
+        When it came and was sent on.
+    judge_at : Millis
+        When silence after the opening tells of the server.
     """
 
-    key: bytes
-    server: ServerRow
-    sent_at: Millis
-    opening: bytes | None
-    last_at: Millis
-    judge_at: Millis
-    tried: list[ServerRow]
-    destination: bytes
-    has_followed: bool = False
+    __slots__ = (
+        "destination",
+        "has_followed",
+        "judge_at",
+        "key",
+        "last_at",
+        "opening",
+        "sent_at",
+        "server",
+        "tried",
+    )
+
+    def __init__(
+        self,
+        key: bytes,
+        server: ServerRow,
+        *,
+        destination: bytes,
+        opening: bytes,
+        now: Millis,
+        judge_at: Millis,
+    ) -> None:
+        self.key = key
+        self.server = server
+        self.destination = destination
+        self.opening: bytes | None = opening
+        self.sent_at = now
+        self.last_at = now
+        self.judge_at = judge_at
+        self.tried = [server]
+        self.has_followed = False
 
 
 class FlowTable:
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -7,8 +7,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import MemberEntry
@@ -30,8 +30,7 @@
 """Members elsewhere told each heartbeat; bytes between data centres are priced."""
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(NamedTuple):
     """What a balancer tells the others of itself.
 
     Parameters
@@ -64,17 +63,35 @@
     known: tuple[MemberEntry, ...] = ()
 
 
-@dataclass(slots=True)
 class MemberRow:
-    """One other balancer as seen from here."""
+    """One other balancer as seen from here.
 
-    entry: MemberEntry
-    heard_at: Millis | None = None
-    learned_at: Millis = 0
-    is_ready: bool = False
-    is_reader: bool = False
-    revision: int = 0
-    confirmed_at: Millis | None = None
+    Parameters
+    ----------
+    entry : MemberEntry
+        What it says of itself.
+    learned_at : Millis
+        When this balancer learned of it.
+    """
+
+    __slots__ = (
+        "confirmed_at",
+        "entry",
+        "heard_at",
+        "is_reader",
+        "is_ready",
+        "learned_at",
+        "revision",
+    )
+
+    def __init__(self, entry: MemberEntry, learned_at: Millis) -> None:
+        self.entry = entry
+        self.learned_at = learned_at
+        self.heard_at: Millis | None = None
+        self.confirmed_at: Millis | None = None
+        self.is_ready = False
+        self.is_reader = False
+        self.revision = 0
 
 
 class MemberTable:
@@ -104,7 +121,7 @@
             return
         row = self._rows.get(entry.name)
         if row is None:
-            self._rows[entry.name] = MemberRow(entry, learned_at=now)
+            self._rows[entry.name] = MemberRow(entry, now)
         elif entry.incarnation > row.entry.incarnation:
             row.entry = entry
             row.learned_at = now
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -6,10 +6,9 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from enum import Enum
 
-from stoattray_core._identifiers import Address, Millis
+from stoattray_core._identifiers import Millis
 from stoattray_core.steering.cookies import CookieTable
 from stoattray_core.steering.entries import BackendServerEntry
 
@@ -31,7 +30,6 @@
     GONE = "gone"
 
 
-@dataclass(slots=True, eq=False)
 class ServerRow:
     """One backend server and what this balancer has seen of it.
 
@@ -41,6 +39,9 @@
         What it last said.
     cookie : int
         Names it in packets.
+
+    Attributes
+    ----------
     warm_at : Millis
         When it stops being slow.
     presence : Presence
@@ -49,26 +50,42 @@
         Flows that this balancer opened there and that have not ended.
     n_unanswered : int
         Of these, flows whose caller has not gone on yet.
-    peer_load : float
+    peer_load : int
         Open flows that other balancers tell of.
+    slowness : float
+        Time that its flows take, in multiples of the service's usual time.
     """
 
-    entry: BackendServerEntry
-    cookie: int
-    warm_at: Millis
-    presence: Presence = Presence.LISTED
-    n_open: int = 0
-    n_unanswered: int = 0
-    peer_load: float = 0.0
-    suspect_until: Millis = 0
-    n_silent: int = 0
-    last_answer_at: Millis = 0
-    heard_at: Millis = 0
-    slowness: float = 1.0
-    address: Address = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.address = self.entry.address
+    __slots__ = (
+        "address",
+        "cookie",
+        "entry",
+        "heard_at",
+        "last_answer_at",
+        "n_open",
+        "n_silent",
+        "n_unanswered",
+        "peer_load",
+        "presence",
+        "slowness",
+        "suspect_until",
+        "warm_at",
+    )
+
+    def __init__(self, entry: BackendServerEntry, cookie: int) -> None:
+        self.entry = entry
+        self.cookie = cookie
+        self.address = entry.address
+        self.presence = Presence.LISTED
+        self.warm_at: Millis = 0
+        self.heard_at: Millis = 0
+        self.last_answer_at: Millis = 0
+        self.suspect_until: Millis = 0
+        self.n_silent = 0
+        self.n_open = 0
+        self.n_unanswered = 0
+        self.peer_load = 0
+        self.slowness = 1.0
 
     @property
     def name(self) -> str:
@@ -187,7 +204,7 @@
         if before is not None:
             self._services[before.entry.service].remove(before)
         self._cookies.add(entry.name, entry.born)
-        row = ServerRow(entry, self._cookies.cookie(entry.name), 0)
+        row = ServerRow(entry, self._cookies.cookie(entry.name))
         self._rows[entry.name] = row
         self._lingering.pop(entry.name, None)
         self._services.setdefault(entry.service, []).append(row)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -300,14 +300,12 @@
     def _open(self, packet: Packet, server: ServerRow, now: Millis) -> None:
         self.counters["flows_opened"] += 1
         flow = FlowRow(
-            key=packet.key,
-            server=server,
-            sent_at=now,
+            packet.key,
+            server,
+            destination=packet.destination,
             opening=packet.data,
-            last_at=now,
+            now=now,
             judge_at=now + self.patience,
-            tried=[server],
-            destination=packet.destination,
         )
         self._flows.open(flow)
 
