sockets are bound from the command line's words, without socket and runpy

Cause: of 0.185 s of processor time from process start to ready, 0.04 s went by before the sockets were bound, for json and socket, and more for runpy. Change: the deploy file gives both addresses as words of the command; the extension module below socket binds them; the program is a script. The rest of the start is gevent's imports.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
@@ -176,13 +176,13 @@
 """Takes a path and returns status and body."""
 
 
-def http_server(listener: Address | sockets.socket, answer: Answerer) -> StreamServer:
+def http_server(listener: Address | socket.socket, answer: Answerer) -> StreamServer:
     """Return a server that answers each request by its path; not yet started.
 
     Parameters
     ----------
     listener : Address or socket.socket
-        Where to listen, or a socket that listens already and is taken over.
+        Where to listen, or a socket that listens already.
     answer : Answerer
         May wait.
     """
@@ -196,8 +196,8 @@
         finally:
             connection.close()
 
-    if isinstance(listener, sockets.socket):
-        return StreamServer(socket.socket(fileno=listener.detach()), serve)
+    if isinstance(listener, socket.socket):
+        return StreamServer(listener, serve)
     return StreamServer(listener, serve, backlog=BACKLOG)
 
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/early_sockets.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/early_sockets.py
@@ -3,11 +3,12 @@
 Loading takes some 0.3 s on a small VM. Packets and readiness checks that come
 meanwhile wait in the sockets; without this they would be lost, and routers would
 ask again only half a second later.
+
+The extension module behind `socket` is used, since `socket` itself takes longer to
+load than the interpreter takes to start.
 """
 
-import json
-import socket
-from typing import NamedTuple
+import _socket
 
 RECEIVE_BUFFER_BYTES = 1_048_576
 """Holds about a second of opening packets; unread bytes count as memory."""
@@ -16,35 +17,37 @@
 """Readiness checks that wait; routers ask twice a second."""
 
 
-class EarlySockets(NamedTuple):
-    """What is bound first."""
+def bind_datagrams(address: str) -> int:
+    """Return the descriptor of a UDP socket bound to ``host:port``.
 
-    datagram: socket.socket
-    readiness: socket.socket
+    Raises
+    ------
+    OSError, ValueError
+        If the address can't be read or bound.
+    """
+    bound = _socket.socket(_socket.AF_INET, _socket.SOCK_DGRAM)
+    bound.setsockopt(_socket.SOL_SOCKET, _socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    bound.setblocking(False)
+    bound.bind(_parse(address))
+    return bound.detach()
 
 
-def open_early_sockets(path: str) -> EarlySockets:
-    """Bind the sockets that a settings file names.
+def listen(address: str) -> int:
+    """Return the descriptor of a TCP socket that listens at ``host:port``.
 
     Raises
     ------
-    OSError, ValueError, KeyError
-        If the file can't be read, an address is missing, or it can't be bound.
+    OSError, ValueError
+        If the address can't be read or bound.
     """
-    with open(path, encoding="utf-8") as file:
-        values = json.load(file)
-    datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    datagram.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    datagram.setblocking(False)
-    datagram.bind(_address(values["datagram"]))
-    readiness = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    readiness.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    readiness.setblocking(False)
-    readiness.bind(_address(values["readiness"]))
-    readiness.listen(BACKLOG)
-    return EarlySockets(datagram, readiness)
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
+    bound = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+    bound.setsockopt(_socket.SOL_SOCKET, _socket.SO_REUSEADDR, 1)
+    bound.setblocking(False)
+    bound.bind(_parse(address))
+    bound.listen(BACKLOG)
+    return bound.detach()
+
+
+def _parse(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
     return host, int(port)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -1,6 +1,7 @@
 """One balancer process with cookie placement, from start to exit."""
 
 import signal
+import socket as sockets
 import sys
 import time
 from collections.abc import Callable, Iterator
@@ -8,6 +9,7 @@
 from random import Random
 
 import gevent
+from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -15,7 +17,6 @@
 from stoattray_balancer.steering._http import http_server
 from stoattray_balancer.steering._peer_codec import encode_member
 from stoattray_balancer.steering.datagrams import DatagramPath, Header
-from stoattray_balancer.steering.early_sockets import EarlySockets
 from stoattray_balancer.steering.peers import Peers
 from stoattray_balancer.steering.settings import (
     SteeringSettings,
@@ -83,8 +84,9 @@
         Makes a client of the store from settings.
     readiness_path : str
         Path that routers ask for readiness.
-    sockets : EarlySockets
-        Bound before the program was loaded.
+    datagrams, readiness : int
+        Descriptors of the sockets of packets and readiness checks, bound before
+        the program was loaded.
     """
 
     def __init__(
@@ -95,12 +97,13 @@
         decoder: Decoder,
         client: Callable[[SteeringSettings], StoreClient],
         readiness_path: str,
-        sockets: EarlySockets,
+        datagrams: int,
+        readiness: int,
     ) -> None:
         self._path = path
         self._settings = load_steering_settings(path)
         self._readiness_path = readiness_path
-        self._sockets = sockets
+        self._readiness_socket = socket.socket(fileno=readiness)
         self._ready = Event()
         self._random = Random()
         settings = self._settings
@@ -120,7 +123,7 @@
         self._datagrams = DatagramPath(
             self._steering,
             header,
-            sockets.datagram,
+            sockets.socket(fileno=datagrams),
             clock=boot_millis,
             on_event=log_event,
         )
@@ -229,7 +232,7 @@
     def _servers(self) -> Iterator[None]:
         settings = self._settings
         servers: list[StreamServer] = [
-            http_server(self._sockets.readiness, self._answer_http),
+            http_server(self._readiness_socket, self._answer_http),
             http_server(settings.metrics, self._answer_http),
             self._peers.server((settings.host, settings.peer_port)),
         ]
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -15,8 +15,6 @@
     member: str
     data_centre: str
     host: str
-    datagram: Address
-    readiness: Address
     seed_server: Address | None
     metrics: Address
     peer_port: int
@@ -61,8 +59,6 @@
             member=self._text("member"),
             data_centre=self._text("data_centre"),
             host=host,
-            datagram=self._address("datagram"),
-            readiness=self._address("readiness"),
             seed_server=_parse("seed_server", seed_server) if seed_server else None,
             metrics=(host, int(self._number("metrics_port", 1, 65_535))),
             peer_port=int(peer_port),
