--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
@@ -79,7 +79,8 @@
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
 
     def start(self) -> None:
-        """Forward packets from now on."""
+        """Forward packets from now on, first those that wait in the socket."""
+        self._steering.start_forwarding(self._clock())
         self._watcher.start(self._receive)
 
     def stop(self) -> None:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -151,6 +151,7 @@
             on_event=log_event,
         )
         self._is_stopping = False
+        self._is_turning_away = False
 
     def run(self) -> int:
         """Serve until told to stop; return the exit status."""
@@ -180,20 +181,24 @@
     def _answer_http(self, path: str) -> tuple[int, str]:
         if path == self._readiness_path:
             self._ready.wait(READY_HOLD_SECONDS)
-            is_ready = self._steering.is_ready and not self._is_stopping
+            is_ready = self._steering.is_ready and not self._is_turning_away
             return (200, "ready\n") if is_ready else (503, "not ready\n")
         return 404, "not found\n"
 
     def _on_stop_signal(self) -> None:
         self._is_stopping = True
-        self._peers.is_leaving = True
 
     def _drain(self) -> None:
         """Forward until routers have turned away, then take the own record away."""
         started = boot_millis()
         last = started + self._settings.grace_ms - STOP_MARGIN_MILLIS
-        log_event("draining", n_flows=self._steering.n_flows)
-        earliest = started + TURN_AWAY_MILLIS
+        log_event("stopping", n_flows=self._steering.n_flows)
+        self._wait_turn(last - TURN_AWAY_MILLIS)
+        self._is_turning_away = True
+        self._peers.is_leaving = True
+        turned_at = boot_millis()
+        log_event("turning_away", waited_ms=turned_at - started)
+        earliest = turned_at + TURN_AWAY_MILLIS
         while boot_millis() < last:
             now = boot_millis()
             is_quiet = now - self._datagrams.last_packet_at >= QUIET_MILLIS
@@ -203,6 +208,13 @@
         with gevent.Timeout(0.3, False):
             self._registration.end()
 
+    def _wait_turn(self, last: Millis) -> None:
+        """Stay ready until enough balancers of the data centre are, or until `last`."""
+        while boot_millis() < last:
+            if self._steering.members.may_turn_away(boot_millis()):
+                return
+            gevent.sleep(STOP_CHECK_SECONDS)
+
     def _reload(self) -> None:
         """Read the settings anew; keep the old ones if the file is bad."""
         try:
--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -82,13 +82,22 @@
         """Return the flow with this key, or None."""
         return self._rows.get(key)
 
-    def open(self, row: FlowRow) -> None:
-        """Add a new flow and count it at its server."""
+    def open(self, row: FlowRow, *, is_judged: bool) -> None:
+        """Add a new flow and count it at its server.
+
+        Parameters
+        ----------
+        row : FlowRow
+            The flow.
+        is_judged : bool
+            Whether silence after its opening tells of the server.
+        """
         self._rows[row.key] = row
         self._by_age.append(row)
         row.server.n_open += 1
         row.server.n_unanswered += 1
-        self.wait(row)
+        if is_judged:
+            self.wait(row)
 
     def wait(self, row: FlowRow) -> None:
         """Judge the flow at its `judge_at` unless a packet follows until then."""
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -23,6 +23,13 @@
 FORGET_MILLIS = 60_000
 """Members unheard for this long are no longer told anything."""
 
+SEEN_READY_MILLIS = 600
+"""Routers have seen that a member is ready again after this time; they ask each half
+second."""
+
+EXPECTED_BACK_MILLIS = 10_000
+"""A member of the own data centre that fell silent is expected back for this time."""
+
 N_NEAR_TOLD = 8
 """Members of the own data centre told each heartbeat; bounds messages per member."""
 
@@ -81,6 +88,7 @@
         "is_reader",
         "is_ready",
         "learned_at",
+        "ready_since",
         "revision",
     )
 
@@ -90,6 +98,7 @@
         self.heard_at: Millis | None = None
         self.confirmed_at: Millis | None = None
         self.is_ready = False
+        self.ready_since: Millis = 0
         self.is_reader = False
         self.revision = 0
 
@@ -136,6 +145,8 @@
         if entry.incarnation < row.entry.incarnation:
             return False
         was_live = self._is_live(row, now)
+        if heartbeat.is_ready and not (was_live and row.is_ready):
+            row.ready_since = now
         row.heard_at = now
         row.is_ready = heartbeat.is_ready
         row.is_reader = heartbeat.is_reader
@@ -154,6 +165,24 @@
         own = self._own.data_centre
         return [row for row in self.live(now) if row.entry.data_centre == own]
 
+    def may_turn_away(self, now: Millis) -> bool:
+        """Return whether callers are served if this balancer is no longer ready.
+
+        Routers use every balancer of a data centre, also those that are down, once
+        fewer than half are ready. The last one of a data centre may always turn
+        away: then routers use the nearest other data centres.
+        """
+        n_ready, n_all = 0, 1
+        for row in self._rows.values():
+            if row.entry.data_centre != self._own.data_centre or row.heard_at is None:
+                continue
+            if now - row.heard_at > EXPECTED_BACK_MILLIS:
+                continue
+            n_all += 1
+            is_seen = now - row.ready_since >= SEEN_READY_MILLIS
+            n_ready += self._is_live(row, now) and row.is_ready and is_seen
+        return n_all == 1 or 2 * n_ready >= n_all
+
     def is_reader(self, now: Millis, confirmed_age: Millis) -> bool:
         """Return whether this balancer has to read the store itself.
 
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -43,6 +43,10 @@
 MAX_TRIED = 4
 """Servers that one opening packet is sent to; callers give up after 1.4 s."""
 
+BACKLOG_MILLIS = 50
+"""Packets taken so soon after the start waited in the socket; their callers may have
+given up, so silence after them says nothing about servers."""
+
 UNANSWERED_MILLIS = 1_500
 """Callers give up an unanswered opening after 1.4 s."""
 
@@ -142,6 +146,7 @@
         self._flows = FlowTable()
         self._confirmed_at: Millis | None = None
         self._ticked_at: Millis | None = None
+        self._judge_from: Millis = 0
         self._peer_loads: dict[str, list[tuple[ServerRow, int]]] = {}
 
     @property
@@ -182,6 +187,10 @@
         """Return the open flows of this balancer by cookie of the server."""
         return {row.cookie: row.n_open for row in self.servers if row.n_open > 0}
 
+    def start_forwarding(self, now: Millis) -> None:
+        """Note that packets that waited for this start come first."""
+        self._judge_from = now + BACKLOG_MILLIS
+
     def take(self, difference: Difference, now: Millis) -> None:
         """Take changes from the store or a peer."""
         for record in self.replica.merge(difference):
@@ -307,7 +316,7 @@
             now=now,
             judge_at=now + self.patience,
         )
-        self._flows.open(flow)
+        self._flows.open(flow, is_judged=now >= self._judge_from)
 
     def _pin(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
         """Fix the server of a flow by the first packet that follows its opening.
--- /dev/null
+++ b/tests/balancer/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the process of cookie placement."""
--- /dev/null
+++ b/tests/core/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions of cookie placement."""
--- /dev/null
+++ b/tests/core/steering/test_cookies.py
@@ -0,0 +1,70 @@
+"""Cookies are alike everywhere, also where digests meet, and outlive servers."""
+
+import unittest
+from unittest.mock import patch
+
+from stoattray_core.steering import cookies
+from stoattray_core.steering.cookies import CookieTable, digests
+
+LINGER = 60_000
+
+
+class CookieTableTest(unittest.TestCase):
+    """Derivation, collisions and lingering."""
+
+    def setUp(self):
+        self.table = CookieTable(LINGER)
+
+    def test_alike_in_any_order(self):
+        names = [f"i-{number:x}" for number in range(500)]
+        other = CookieTable(LINGER)
+        for name in names:
+            self.table.add(name, 1)
+        for name in reversed(names):
+            other.add(name, 1)
+        for name in names:
+            self.assertEqual(self.table.cookie(name), other.cookie(name))
+            self.assertEqual(self.table.read(other.cookie(name)), name)
+
+    def test_never_zero(self):
+        with patch.object(cookies, "xxh32_intdigest", return_value=0):
+            self.assertEqual(set(digests("i-1")), {1})
+
+    def test_collision_goes_to_the_elder_in_any_order(self):
+        def meeting(name, number):
+            return 7 if number == 0 else hash((name, number)) & 0xFFFFFFFF
+
+        with patch.object(cookies, "xxh32_intdigest", meeting):
+            other = CookieTable(LINGER)
+            for name, born in (("young", 2), ("old", 1)):
+                self.table.add(name, born)
+            for name, born in (("old", 1), ("young", 2)):
+                other.add(name, born)
+            for table in (self.table, other):
+                self.assertEqual(table.cookie("old"), 7)
+                self.assertEqual(table.read(7), "old")
+                self.assertEqual(table.read(table.cookie("young")), "young")
+            self.assertEqual(self.table.cookie("young"), other.cookie("young"))
+
+    def test_gone_server_is_read_for_a_flow_life(self):
+        self.table.add("i-1", 1)
+        cookie = self.table.cookie("i-1")
+        self.table.remove("i-1", now=0)
+        self.assertEqual(self.table.read(cookie), "i-1")
+        self.assertEqual(self.table.expire(LINGER - 1), [])
+        self.assertEqual(self.table.expire(LINGER), ["i-1"])
+        self.assertIsNone(self.table.read(cookie))
+
+    def test_live_server_goes_before_one_that_has_gone(self):
+        with patch.object(cookies, "xxh32_intdigest", lambda name, number: number + 5):
+            self.table.add("old", 1)
+            self.table.remove("old", now=0)
+            self.table.add("young", 2)
+            self.assertEqual(self.table.read(self.table.cookie("young")), "young")
+
+    def test_unknown_cookie(self):
+        self.assertIsNone(self.table.read(99))
+
+    def test_removing_an_unknown_server_changes_nothing(self):
+        self.table.remove("i-9", now=0)
+        self.assertEqual(self.table.expire(LINGER), [])
--- /dev/null
+++ b/tests/core/steering/test_replica.py
@@ -0,0 +1,85 @@
+"""The copy of the store never goes back, whoever offers what in which order."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stoattray_core.steering import replica as replica_module
+from stoattray_core.steering.replica import Difference, Record, Replica
+
+
+def difference(revision, *records, is_whole=False):
+    """Return a difference that is complete up to `revision`."""
+    return Difference(revision, list(records), is_whole)
+
+
+class ReplicaTest(unittest.TestCase):
+    """Merging, taking over whole copies, and differences for peers."""
+
+    def setUp(self):
+        self.replica = Replica()
+
+    def test_newer_record_replaces_older(self):
+        self.replica.merge(difference(1, Record("k", 1, b"old")))
+        changed = self.replica.merge(difference(2, Record("k", 2, b"new")))
+        self.assertEqual(changed, [Record("k", 2, b"new")])
+        self.assertEqual(self.replica.revision, 2)
+
+    def test_older_record_is_left_out(self):
+        self.replica.merge(difference(5, Record("k", 5, b"new")))
+        self.assertEqual(self.replica.merge(difference(3, Record("k", 3, b"old"))), [])
+        self.assertEqual(self.replica.get("k").value, b"new")
+        self.assertEqual(self.replica.revision, 5)
+
+    def test_deleted_record_does_not_come_back(self):
+        self.replica.merge(difference(5, Record("k", 5, b"x")))
+        self.replica.merge(difference(6, Record("k", 6, None)))
+        self.replica.merge(difference(5, Record("k", 5, b"x"), is_whole=True))
+        self.assertIsNone(self.replica.get("k"))
+
+    def test_whole_copy_deletes_what_it_lacks(self):
+        self.replica.merge(difference(2, Record("a", 1, b""), Record("b", 2, b"")))
+        changed = self.replica.merge(difference(9, Record("a", 1, b""), is_whole=True))
+        self.assertEqual(changed, [Record("b", 9, None)])
+
+    def test_whole_copy_spares_what_is_newer(self):
+        self.replica.merge(difference(9, Record("new", 9, b"")))
+        changed = self.replica.merge(difference(5, is_whole=True))
+        self.assertEqual(changed, [])
+        self.assertIsNotNone(self.replica.get("new"))
+
+    def test_difference_carries_deletions(self):
+        self.replica.merge(difference(2, Record("a", 1, b""), Record("b", 2, b"")))
+        self.replica.merge(difference(3, Record("a", 3, None)))
+        taken = self.replica.since(2)
+        self.assertEqual(taken.records, [Record("a", 3, None)])
+        self.assertFalse(taken.is_whole)
+
+    def test_forgotten_deletions_make_the_difference_whole(self):
+        limit = replica_module.MAX_DELETED
+        for revision in range(1, limit + 3):
+            self.replica.merge(
+                difference(revision, Record(f"k{revision}", revision, None))
+            )
+        self.assertTrue(self.replica.since(1).is_whole)
+        self.assertFalse(self.replica.since(limit).is_whole)
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=30
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_peers_agree_after_taking_differences(self, writes, random):
+        first, second = Replica(), Replica()
+        for revision, (key, is_deleted) in enumerate(writes, start=1):
+            value = None if is_deleted else str(revision).encode()
+            record = Record(key, revision, value)
+            first.merge(difference(revision, record))
+            if random.random() < 0.3:
+                second.merge(first.since(second.revision))
+        second.merge(first.since(second.revision))
+        self.assertEqual(second.revision, first.revision)
+        for key in "abc":
+            self.assertEqual(second.get(key), first.get(key))
--- /dev/null
+++ b/tests/core/steering/test_steering.py
@@ -0,0 +1,234 @@
+"""One balancer's decisions: flows stay, silence is found, nothing goes back."""
+
+import unittest
+
+from stoattray_core._errors import ANSWERS, ErrorKind, PacketAnswer
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.replica import Difference
+from stoattray_core.steering.steering import MAX_TRIED
+from tests.steering_builders import (
+    UNKNOWN_DESTINATION,
+    Balancer,
+    configuration,
+    following,
+    heartbeat,
+    opening,
+    server_entry,
+)
+
+
+def started(*names, **options):
+    """Return a balancer with a configuration and backend servers."""
+    balancer = Balancer(**options)
+    balancer.declare(configuration(), *(server_entry(name) for name in names))
+    return balancer
+
+
+class FlowTest(unittest.TestCase):
+    """Each flow has one backend server."""
+
+    def test_other_balancer_sends_the_flow_to_the_same_server(self):
+        first = started("i-01", "i-02", "i-03")
+        second = started("i-03", "i-02", "i-01", name="edge-2", seed=2)
+        for port in range(40_000, 40_050):
+            server = first.open(port)
+            other = second.steering.route_packet(
+                following(port, server.cookie), second.now
+            )
+            self.assertEqual(other.name, server.name)
+
+    def test_flow_stays_when_its_server_drains_and_vanishes(self):
+        balancer = started("i-01")
+        server = balancer.open()
+        balancer.follow(40_000, server)
+        balancer.declare(server_entry("i-01", is_draining=True), server_entry("i-02"))
+        self.assertEqual(balancer.follow(40_000, server).name, "i-01")
+        balancer.remove("i-01")
+        self.assertEqual(balancer.follow(40_000, server).name, "i-01")
+        self.assertEqual(balancer.open(40_001).name, "i-02")
+
+    def test_unknown_cookie_is_never_reset(self):
+        balancer = started("i-01")
+        refused = balancer.steering.route_packet(following(1, 12_345), balancer.now)
+        self.assertEqual(refused.kind, ErrorKind.UNKNOWN_COOKIE)
+        self.assertIs(ANSWERS[refused.kind].packet, PacketAnswer.NONE)
+
+    def test_two_servers_that_both_answered_the_first_acknowledged_one_wins(self):
+        balancer = started("i-01", "i-02")
+        first = balancer.open()
+        [(second, _)] = balancer.wait(balancer.steering.patience + 5)
+        self.assertIsNot(first, second)
+        self.assertIs(balancer.follow(40_000, first), first)
+        self.assertIs(balancer.follow(40_000, second), first)
+
+    def test_counts_follow_the_flow(self):
+        balancer = started("i-01", "i-02")
+        first = balancer.open()
+        [(second, _)] = balancer.wait(balancer.steering.patience + 5)
+        self.assertEqual((first.n_open, second.n_open), (0, 1))
+        balancer.follow(40_000, first)
+        self.assertEqual((first.n_open, second.n_open), (1, 0))
+        ending = following(40_000, first.cookie, is_ending=True)
+        balancer.steering.route_packet(ending, balancer.now)
+        self.assertEqual((first.n_open, first.n_unanswered), (0, 0))
+        self.assertEqual(balancer.steering.n_flows, 0)
+
+    def test_forgotten_flows_no_longer_count(self):
+        balancer = started("i-01")
+        server = balancer.open()
+        balancer.wait(3_000)
+        balancer.steering.clean_up(balancer.now)
+        self.assertEqual(server.n_open, 0)
+
+
+class RefusalTest(unittest.TestCase):
+    """What can't be served is refused at once, and truthfully."""
+
+    def test_nothing_is_reset_before_a_configuration_is_known(self):
+        balancer = Balancer()
+        balancer.declare(server_entry("i-01"))
+        self.assertIs(ANSWERS[balancer.open().kind].packet, PacketAnswer.NONE)
+
+    def test_nothing_is_reset_before_a_server_is_known(self):
+        balancer = Balancer()
+        balancer.declare(configuration())
+        self.assertIs(ANSWERS[balancer.open().kind].packet, PacketAnswer.NONE)
+
+    def test_unknown_destination_is_reset(self):
+        refused = started("i-01").open(destination=UNKNOWN_DESTINATION)
+        self.assertEqual(refused.kind, ErrorKind.NO_ROUTE)
+        self.assertIs(ANSWERS[refused.kind].packet, PacketAnswer.RESET)
+
+    def test_unknown_destination_with_an_old_copy_is_not_reset(self):
+        balancer = started("i-01")
+        balancer.wait(5_000, step=50)
+        refused = balancer.open(destination=UNKNOWN_DESTINATION)
+        self.assertIs(ANSWERS[refused.kind].packet, PacketAnswer.NONE)
+
+    def test_service_without_server_is_reset(self):
+        balancer = started("i-01")
+        balancer.declare(server_entry("i-01", is_draining=True))
+        self.assertEqual(balancer.open().kind, ErrorKind.NO_BACKEND_SERVER)
+
+    def test_repeated_opening_is_not_reset_since_its_flow_may_be_open(self):
+        balancer = started("i-01")
+        balancer.open()
+        balancer.declare(server_entry("i-01", is_draining=True))
+        for refused in (balancer.open(n_copy=1), balancer.open(40_001, n_copy=1)):
+            self.assertIsInstance(refused, Refused)
+            self.assertIs(ANSWERS[refused.kind].packet, PacketAnswer.NONE)
+
+
+class SilenceTest(unittest.TestCase):
+    """Backend servers that leave openings unanswered."""
+
+    def test_opening_is_sent_to_another_server_before_the_caller_repeats_it(self):
+        balancer = started("i-01", "i-02")
+        first = balancer.open()
+        again = balancer.wait(130)
+        self.assertEqual(len(again), 1)
+        server, data = again[0]
+        self.assertIsNot(server, first)
+        self.assertEqual(data, opening().data)
+        self.assertTrue(first.is_suspect(balancer.now))
+
+    def test_opening_is_sent_to_a_bounded_number_of_servers(self):
+        balancer = started(*(f"i-0{number}" for number in range(1, 9)))
+        balancer.open()
+        self.assertLess(len(balancer.wait(1_400)), MAX_TRIED)
+
+    def test_answered_opening_is_not_sent_again(self):
+        balancer = started("i-01", "i-02")
+        balancer.follow(40_000, balancer.open())
+        self.assertEqual(balancer.wait(1_000), [])
+
+    def test_quarter_of_hosts_dark_at_once_costs_each_flow_one_wait(self):
+        balancer = started(*(f"i-0{number}" for number in range(1, 9)))
+        dark = {"i-01", "i-02"}
+        n_slow = 0
+        for port in range(40_000, 40_400):
+            server = balancer.open(port)
+            tried = [server.name]
+            while server.name in dark:
+                [(server, _)] = balancer.wait(balancer.steering.patience + 5)[-1:]
+                tried.append(server.name)
+            n_slow += len(tried) > 1
+            balancer.follow(port, server)
+            ending = following(port, server.cookie, is_ending=True)
+            balancer.steering.route_packet(ending, balancer.now)
+            balancer.wait(10)
+        self.assertLess(n_slow, 20)
+
+    def test_answer_clears_suspicion(self):
+        balancer = started("i-01")
+        server = balancer.open()
+        balancer.wait(100)
+        self.assertTrue(server.is_suspect(balancer.now))
+        balancer.follow(40_000, server)
+        self.assertFalse(server.is_suspect(balancer.now))
+
+    def test_frozen_balancer_judges_nobody_when_it_wakes(self):
+        balancer = started("i-01", "i-02")
+        balancer.wait(10)
+        server = balancer.open()
+        balancer.now += 4_000
+        self.assertEqual(list(balancer.steering.tick(balancer.now)), [])
+        self.assertFalse(server.is_suspect(balancer.now))
+        self.assertIn("woke", balancer.recorder.names())
+
+    def test_packets_that_waited_for_the_start_judge_nobody(self):
+        balancer = started("i-01", "i-02")
+        balancer.steering.start_forwarding(balancer.now)
+        server = balancer.open()
+        self.assertEqual(balancer.wait(1_000), [])
+        self.assertFalse(server.is_suspect(balancer.now))
+
+
+class BeliefTest(unittest.TestCase):
+    """Configuration and backend servers as the store and peers tell of them."""
+
+    def test_configuration_never_goes_back(self):
+        balancer = Balancer()
+        balancer.declare(configuration(version=5), configuration(version=3))
+        self.assertEqual(balancer.steering.configuration.version, 5)
+        self.assertIn("configuration_refused", balancer.recorder.names())
+
+    def test_stale_peer_changes_nothing(self):
+        balancer = started("i-01", "i-02")
+        record = balancer.decoder.record("op/config", 1, configuration(version=9))
+        stale = Difference(1, [record], True)
+        peer = heartbeat(revision=1)
+        balancer.steering.take_from_peer(peer, stale, balancer.now)
+        self.assertEqual(balancer.steering.configuration.version, 1)
+        self.assertEqual(len(balancer.steering.servers), 2)
+
+    def test_server_that_vanishes_while_the_store_is_unwell_is_kept_for_a_while(self):
+        balancer = started("i-01")
+        balancer.steering.store_health.note_failure()
+        balancer.remove("i-01")
+        self.assertEqual(balancer.open().name, "i-01")
+        balancer.wait(2_000)
+        balancer.steering.clean_up(balancer.now)
+        self.assertEqual(len(balancer.steering.servers), 1)
+        balancer.wait(1_000)
+        balancer.steering.clean_up(balancer.now)
+        self.assertEqual(len(balancer.steering.servers), 0)
+
+    def test_malformed_record_names_no_server_and_the_others_hold(self):
+        balancer = started("i-01", "i-02")
+        malformed = Refused(ErrorKind.ENTRY_MALFORMED, "capacity is text")
+        balancer.declare(malformed, key="servers/i-03")
+        balancer.declare(malformed, key="servers/i-02")
+        self.assertEqual([row.name for row in balancer.steering.servers], ["i-01"])
+        self.assertEqual(balancer.steering.counters["records_malformed"], 2)
+
+    def test_peers_open_flows_count_until_the_peer_falls_silent(self):
+        balancer = started("i-01")
+        [server] = balancer.steering.servers
+        told = heartbeat(open_flows={server.cookie: 3, 999: 1})
+        balancer.steering.take_heartbeat(told, balancer.now)
+        balancer.steering.take_heartbeat(told, balancer.now)
+        self.assertEqual(server.peer_load, 3)
+        balancer.now += 5_000
+        balancer.steering.clean_up(balancer.now)
+        self.assertEqual(server.peer_load, 0)
--- /dev/null
+++ b/tests/steering_builders.py
@@ -0,0 +1,218 @@
+"""Builders of test data for cookie placement: no network, no clock."""
+
+import struct
+from random import Random
+
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.entries import (
+    BackendServerEntry,
+    Configuration,
+    Entry,
+    MemberEntry,
+    RequestKind,
+    Route,
+)
+from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.replica import Difference, Record
+from stoattray_core.steering.servers import ServerRow
+from stoattray_core.steering.steering import Packet, Steering
+
+LOOKUP_DESTINATION = b"\xc6\x12\x00\x01\x20\xfb"
+UNKNOWN_DESTINATION = b"\xc6\x12\x00\x09\x20\xfb"
+FLOW_LIFE = 60_000
+START = 1_000_000
+
+
+class Recorder:
+    """Keeps the events that a balancer writes."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, dict]] = []
+
+    def __call__(self, name: str, **fields: object) -> None:
+        self.events.append((name, fields))
+
+    def names(self) -> list[str]:
+        """Return the names of the events so far."""
+        return [name for name, _ in self.events]
+
+
+class EntryDecoder:
+    """Reads records whose value names an entry that a test has put here."""
+
+    def __init__(self) -> None:
+        self._entries: list[Entry | Refused] = []
+
+    def record(self, key: str, revision: int, entry: Entry | Refused) -> Record:
+        """Return a record that decodes to `entry`."""
+        self._entries.append(entry)
+        return Record(key, revision, str(len(self._entries) - 1).encode())
+
+    def decode(self, record: Record) -> Entry | Refused | None:
+        """Return the entry of a record."""
+        return self._entries[int(record.value or b"")]
+
+    def backend_server_name(self, key: str) -> str | None:
+        """Return the server whose record stands under `key`."""
+        return key.removeprefix("servers/") if key.startswith("servers/") else None
+
+
+def server_entry(name: str = "i-01", **changes: object) -> BackendServerEntry:
+    """Return a warm, ready backend server of the lookup service."""
+    values = {
+        "name": name,
+        "label": struct.pack(">Q", int(name.removeprefix("i-"), 16)),
+        "service": "lookup",
+        "address": ("10.128.0.9", 8_080),
+        "data_centre": "luzon-a",
+        "capacity": 2,
+        "is_draining": False,
+        "warmup": 0,
+        "born": 1,
+        **changes,
+    }
+    return BackendServerEntry(**values)
+
+
+def server_row(name: str = "i-01", **changes: object) -> ServerRow:
+    """Return the row of a backend server."""
+    return ServerRow(server_entry(name, **changes), cookie=1)
+
+
+def configuration(version: int = 1, **changes: object) -> Configuration:
+    """Return a configuration with one route to the lookup service."""
+    route = Route(
+        "lookup", LOOKUP_DESTINATION, (("lookup", 1),), RequestKind.IDEMPOTENT
+    )
+    values = {
+        "version": version,
+        "routes": {LOOKUP_DESTINATION: route},
+        "idle_limit": 15_000,
+        **changes,
+    }
+    return Configuration(**values)
+
+
+def member_entry(name: str = "edge-1", **changes: object) -> MemberEntry:
+    """Return a balancer in the first data centre."""
+    values = {
+        "name": name,
+        "host": "10.1.0.10",
+        "data_centre": "luzon-a",
+        "incarnation": 1,
+        **changes,
+    }
+    return MemberEntry(**values)
+
+
+def heartbeat(name: str = "edge-2", **changes: object) -> Heartbeat:
+    """Return the heartbeat of a ready balancer with a fresh copy."""
+    values = {
+        "member": member_entry(name),
+        "is_ready": True,
+        "is_reader": True,
+        "revision": 0,
+        "confirmed_age": 0,
+        "return_age": None,
+        "open_flows": {},
+        **changes,
+    }
+    return Heartbeat(**values)
+
+
+class Balancer:
+    """A balancer's decisions with a clock that tests move.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    data_centre : str
+        Where it stands.
+    seed : int
+        Seed of its random choices.
+    """
+
+    def __init__(
+        self, name: str = "edge-1", data_centre: str = "luzon-a", seed: int = 1
+    ) -> None:
+        self.now = START
+        self.recorder = Recorder()
+        self.decoder = EntryDecoder()
+        self.steering = Steering(
+            member_entry(name, data_centre=data_centre),
+            decoder=self.decoder,
+            flow_life=FLOW_LIFE,
+            random=Random(seed),
+            on_event=self.recorder,
+        )
+        self._revision = 0
+
+    def declare(self, *entries: Entry | Refused, key: str | None = None) -> None:
+        """Let the store tell of entries, each at a revision of its own."""
+        for entry in entries:
+            self._revision += 1
+            name = key or _key(entry)
+            record = self.decoder.record(name, self._revision, entry)
+            self.take(record)
+
+    def remove(self, name: str) -> None:
+        """Let the store tell that a backend server's record is gone."""
+        self._revision += 1
+        self.take(Record(f"servers/{name}", self._revision, None))
+
+    def take(self, record: Record) -> None:
+        """Let the store tell of one record."""
+        self.steering.store_health.note_answer(self.now)
+        self.steering.confirm(self.now)
+        self.steering.take(Difference(record.revision, [record], False), self.now)
+
+    def open(self, port: int = 40_000, **changes: object) -> ServerRow | Refused:
+        """Take an opening packet and return where it goes."""
+        return self.steering.route_packet(opening(port, **changes), self.now)
+
+    def follow(self, port: int, server: ServerRow) -> ServerRow | Refused:
+        """Take the packet that follows an opening that `server` answered."""
+        return self.steering.route_packet(following(port, server.cookie), self.now)
+
+    def wait(self, millis: int, step: int = 5) -> list[tuple[ServerRow, bytes]]:
+        """Let time go on tick by tick; return the openings that were sent again."""
+        again = []
+        end = self.now + millis
+        while self.now < end:
+            self.now = min(end, self.now + step)
+            again.extend(self.steering.tick(self.now))
+        return again
+
+
+def opening(port: int = 40_000, **changes: object) -> Packet:
+    """Return a caller's opening packet."""
+    values = {
+        "key": _flow_key(port),
+        "destination": LOOKUP_DESTINATION,
+        "cookie": 0,
+        "is_opening": True,
+        "is_ending": False,
+        "n_copy": 0,
+        "data": b"opening %d" % port,
+        **changes,
+    }
+    return Packet(**values)
+
+
+def following(port: int, cookie: int, **changes: object) -> Packet:
+    """Return a packet of an open flow."""
+    values = {"cookie": cookie, "is_opening": False, "data": b"following", **changes}
+    return opening(port, **values)
+
+
+def _flow_key(port: int) -> bytes:
+    return b"\x64\x40\x00\x07" + LOOKUP_DESTINATION + struct.pack(">H", port)
+
+
+def _key(entry: Entry | Refused) -> str:
+    if isinstance(entry, Configuration):
+        return "op/config"
+    if isinstance(entry, BackendServerEntry):
+        return f"servers/{entry.name}"
+    return "members/x"
