one reader of the store per data centre; own records are renewed each 18 s

Cause: watches waited 4 s, so no copy counted as confirmed between answers and every balancer read the store: calls grew with the fleet. Change: watches wait 1 s; a copy is confirmed for 2.2 s; a reader that the store turns away says so and the next one reads; the others wait longer after failures.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -146,7 +146,7 @@
             self._own,
             peer_port=settings.peer_port,
             seeds=settings.seeds,
-            is_reading=lambda: self._reader.is_reading,
+            is_reading=lambda: self._reader.is_answered,
             clock=boot_millis,
             on_event=log_event,
         )
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -12,9 +12,11 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.replica import Difference
 from stoattray_core.steering.steering import EventSink, Steering
+from stoattray_core.steering.store_health import StoreState
 
-WAIT_MILLIS = 4_000
-"""Longest wait of a watch; a connection that went silent is noticed after it."""
+WAIT_MILLIS = 1_000
+"""Longest wait of a watch; each answer confirms the copy of a whole data centre, and a
+connection that went silent is noticed after it."""
 
 GATHER_SECONDS = 0.7
 """Pause between two watches, so that one answer carries many changes; with the
@@ -27,12 +29,22 @@
 MAX_BACK_OFF_SECONDS = 1.0
 """Bounds of the pause after failures; a returned store has to be read within 2 s."""
 
-LEASE_MILLIS = 12_000
-"""Life of the own record; peers also find each other by heartbeats."""
+WAITING_BACK_OFF_SECONDS = 0.5
+"""Added to the pause for each balancer that goes before this one, so that an outage
+does not multiply calls, which are priced."""
 
-KEEP_SECONDS = 4.0
+MAX_WAITING_SECONDS = 3.0
+"""Bound of what is added; with it a balancer that alone reaches the store reads."""
+
+LEASE_MILLIS = 60_000
+"""Life of the own record. It only tells balancers that start where others are, and
+heartbeats to one that is gone cost less than frequent renewals."""
+
+KEEP_SECONDS = 18.0
 """Two renewals may fail before the lease ends."""
 
+FIRST_RETRY_SECONDS = 1.0
+
 
 class StoreReader:
     """Reads the store while this balancer has to.
@@ -69,10 +81,16 @@
 
     @property
     def is_reading(self) -> bool:
-        """Return whether this balancer reads the store at present."""
+        """Return whether this balancer has to read the store at present."""
         now = self._clock()
         return self._steering.members.is_reader(now, self._steering.confirmed_age(now))
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether it reads the store and the store answers."""
+        is_well = self._steering.store_health.state is not StoreState.UNWELL
+        return is_well and self.is_reading
+
     def run(self) -> None:
         """Read for ever."""
         while True:
@@ -110,7 +128,9 @@
             return 0.0
         if self._steering.store_health.note_failure():
             self._on_event("store_lost", kind=refused.kind, detail=refused.detail)
-        return self._back_off.fail()
+        n_before = self._steering.members.n_before(self._clock())
+        waiting = min(MAX_WAITING_SECONDS, n_before * WAITING_BACK_OFF_SECONDS)
+        return self._back_off.fail() + waiting
 
 
 class Registration:
@@ -144,7 +164,7 @@
         self._value = value
         self._random = random
         self._on_event = on_event
-        self._back_off = BackOff(1.0, KEEP_SECONDS, random)
+        self._back_off = BackOff(FIRST_RETRY_SECONDS, KEEP_SECONDS, random)
         self._lease: int | None = None
 
     def run(self) -> None:
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -16,9 +16,10 @@
 HEARD_MILLIS = 1_000
 """A member is live if heard within this time: five heartbeats in its data centre."""
 
-CONFIRMED_MILLIS = 1_300
-"""Age of a confirmed copy from which on a member reads for itself; drains and
-configuration have to be in force within 3 s, and a read takes a few milliseconds."""
+CONFIRMED_MILLIS = 2_200
+"""Age of a confirmed copy from which on a member reads for itself. A reader confirms
+its copy each 1.8 s at least, and tells so within 0.2 s; drains and configuration have
+to be in force within 3 s."""
 
 FORGET_MILLIS = 60_000
 """Members unheard for this long are no longer told anything."""
@@ -47,7 +48,7 @@
     is_ready : bool
         Whether it can forward.
     is_reader : bool
-        Whether it reads the store.
+        Whether it reads the store, and the store answers.
     revision : int
         Revision up to which its copy is complete.
     confirmed_age : Millis
@@ -193,9 +194,14 @@
         confirmed_age : Millis
             How long ago the own copy was confirmed, by the store or by a peer.
         """
-        if confirmed_age > CONFIRMED_MILLIS:
-            return True
-        return not any(
+        return confirmed_age > CONFIRMED_MILLIS or self.reader_rank(now) == 0
+
+    def reader_rank(self, now: Millis) -> int:
+        """Return how many live readers of the data centre go before this balancer.
+
+        A reader that the store turns away says so and does not count.
+        """
+        return sum(
             row.entry.name < self._own.name
             and row.confirmed_at is not None
             and now - row.confirmed_at <= CONFIRMED_MILLIS
@@ -203,6 +209,10 @@
             for row in self.near(now)
         )
 
+    def n_before(self, now: Millis) -> int:
+        """Return how many live balancers of the data centre have an earlier name."""
+        return sum(row.entry.name < self._own.name for row in self.near(now))
+
     def draw_told(self, now: Millis, *, with_far: bool) -> list[MemberEntry]:
         """Return whom to send the next heartbeat."""
         near: list[MemberEntry] = []
--- a/packages/stoattray-core/src/stoattray_core/steering/store_health.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/store_health.py
@@ -5,7 +5,8 @@
 from stoattray_core._identifiers import Millis
 
 SILENT_MILLIS = 6_000
-"""Longest pause between two answers of a well store: a wait of 4 s and a margin."""
+"""A reader that had no answer for so long was frozen or cut off meanwhile; answers
+come each 1.8 s at least."""
 
 
 class StoreState(Enum):
--- a/tests/core/steering/test_members.py
+++ b/tests/core/steering/test_members.py
@@ -36,6 +36,11 @@
         self.table.hear(turned_away, START)
         self.assertTrue(self.table.is_reader(START, 0))
 
+    def test_another_reads_as_soon_as_the_reader_says_it_is_turned_away(self):
+        self.table.hear(heartbeat("edge-1", is_reader=False), START)
+        self.assertTrue(self.table.is_reader(START, 0))
+        self.assertEqual(self.table.n_before(START), 1)
+
     def test_unconfirmed_copy_makes_a_reader_of_everyone(self):
         self.table.hear(heartbeat("edge-1"), START)
         self.assertTrue(self.table.is_reader(START, CONFIRMED_MILLIS + 1))
