decision logs with a budget for each kind, metrics, relays of packets that are unknown here

Cause: nothing told on-call engineers why a request failed; a packet whose cookie a balancer did not know was dropped. Change: one line per opening (sampled), retry, refusal and changed belief, written without blocking; counters and histograms on the metrics address; packets with an unknown cookie, or for an unknown destination while the copy is old, go once to a balancer that may know more.

--- a/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
@@ -4,7 +4,6 @@
 import logging
 import sys
 import time
-from typing import TextIO
 
 LOGGER = logging.getLogger("stoattray")
 
@@ -15,7 +14,7 @@
 FieldValue = str | int | float | bool | None
 
 
-class _LineFormatter(logging.Formatter):
+class LineFormatter(logging.Formatter):
     """Puts time, severity and event before the pairs."""
 
     def format(self, record: logging.LogRecord) -> str:
@@ -25,10 +24,10 @@
         return f"{head} {record.getMessage()}"
 
 
-def set_up_logging(level: str, stream: TextIO | None = None) -> None:
-    """Write events of at least `level` to a stream, by default standard error."""
-    handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(_LineFormatter())
+def set_up_logging(level: str) -> None:
+    """Write events of at least `level` to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(LineFormatter())
     LOGGER.handlers[:] = [handler]
     LOGGER.setLevel(level.upper())
     LOGGER.propagate = False
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
@@ -7,11 +7,11 @@
 
 import gevent
 
-from stoattray_core._errors import ANSWERS, PacketAnswer
+from stoattray_core._errors import ANSWERS, ErrorKind, PacketAnswer
 from stoattray_core._identifiers import Address, Millis
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.servers import ServerRow
-from stoattray_core.steering.steering import EventSink, Packet, Steering
+from stoattray_core.steering.steering import EventSink, Packet, Steering, flow_name
 
 RECEIVE_BYTES = 2_048
 """Packets are at most 1,232 bytes; a longer one is cut, and refused by its length."""
@@ -25,6 +25,9 @@
 
 READ_EVENT = 1
 
+RELAYED = frozenset({ErrorKind.UNKNOWN_COOKIE, ErrorKind.UNKNOWN_ADDRESS})
+"""Refusals that another balancer may not share: its copy may be newer."""
+
 
 class Header(Protocol):
     """Reads and writes the head of packets."""
@@ -55,6 +58,8 @@
         Where callers' packets come in; callers take packets at the same port.
     clock : callable
         Returns the time.
+    relay : callable
+        Hands a packet to another balancer and returns its name, or None.
     on_event : EventSink
         Takes events.
     """
@@ -66,14 +71,17 @@
         bound: socket.socket,
         *,
         clock: Callable[[], Millis],
+        relay: Callable[[bytes], str | None],
         on_event: EventSink,
     ) -> None:
         self._steering = steering
         self._header = header
         self._port = bound.getsockname()[1]
         self._clock = clock
+        self._relay = relay
         self._on_event = on_event
         self.counters: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
         self.last_packet_at: Millis = 0
         self._socket = bound
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
@@ -118,17 +126,35 @@
     def _take(self, data: bytes) -> None:
         if self.last_packet_at == 0:
             self._on_event("first_packet")
+        self.last_packet_at = self._clock()
+        refused = self._route(data)
+        if refused is None:
+            return
+        if refused.kind in RELAYED:
+            helper = self._relay(data)
+            if helper is not None:
+                self.counters["relayed"] += 1
+                self._tell_refused(refused, data, helper=helper)
+                return
+        self._refuse(refused, data)
+
+    def take_relayed(self, data: bytes) -> None:
+        """Take a packet that another balancer does not know; it goes no further."""
+        self.counters["taken_from_peers"] += 1
+        refused = self._route(data)
+        if refused is not None:
+            self._refuse(refused, data)
+
+    def _route(self, data: bytes) -> Refused | None:
+        """Forward a packet, or return why it is refused."""
         packet = self._header.read(data)
         if isinstance(packet, Refused):
-            self._refuse(packet, data)
-            return
-        now = self._clock()
-        self.last_packet_at = now
-        server = self._steering.route_packet(packet, now)
+            return packet
+        server = self._steering.route_packet(packet, self._clock())
         if isinstance(server, Refused):
-            self._refuse(server, data)
-        else:
-            self._forward(server, data)
+            return server
+        self._forward(server, data)
+        return None
 
     def _forward(self, server: ServerRow, data: bytes) -> None:
         self.counters["forwarded"] += 1
@@ -136,13 +162,31 @@
         self._send(packet, server.address)
 
     def _refuse(self, refused: Refused, data: bytes) -> None:
-        self.counters[refused.kind] += 1
         is_reset = ANSWERS[refused.kind].packet is PacketAnswer.RESET
+        self.refusals[refused.kind] += 1
+        self._tell_refused(refused, data, is_reset=is_reset)
         if is_reset:
             self._send(
                 self._header.reset(data), (self._header.caller_host(data), self._port)
             )
 
+    def _tell_refused(self, refused: Refused, data: bytes, **outcome: object) -> None:
+        if not self._on_event.wants("packet_refused"):
+            self._on_event.left_out("packet_refused")
+            return
+        packet = self._header.read(data)
+        flow = None if isinstance(packet, Refused) else flow_name(packet.key)
+        configuration = self._steering.configuration
+        self._on_event(
+            "packet_refused",
+            kind=refused.kind,
+            flow=flow,
+            n_bytes=len(data),
+            version=None if configuration is None else configuration.version,
+            confirmed_age_ms=self._steering.confirmed_age(self._clock()),
+            **outcome,
+        )
+
     def _send(self, data: bytes, address: Address) -> None:
         try:
             self._socket.sendto(data, address)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -8,6 +8,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from stoattray_balancer._call_limits import RateLimit
 from stoattray_balancer.steering._peer_codec import (
     MAX_FRAME_BYTES,
     decode_difference,
@@ -39,6 +40,12 @@
 PULL_PAUSE_SECONDS = 0.3
 """Least pause between two takings from seeds while not ready."""
 
+RELAYS_PER_SECOND = 200.0
+"""Packets handed to other balancers; few are unknown here, and forged ones many."""
+
+RELAY_MARK = b"R"
+"""First byte of a relayed packet; heartbeats start with the mark of an array."""
+
 MAX_DATAGRAM_BYTES = 65_535
 _LENGTH = struct.Struct("!I")
 READ_EVENT = 1
@@ -61,6 +68,8 @@
         Returns whether this balancer reads the store.
     clock : callable
         Returns the time.
+    on_relayed : callable
+        Takes a caller's packet that another balancer hands over.
     on_event : EventSink
         Takes events.
     """
@@ -74,6 +83,7 @@
         seeds: tuple[Address, ...],
         is_reading: Callable[[], bool],
         clock: Callable[[], Millis],
+        on_relayed: Callable[[bytes], None],
         on_event: EventSink,
     ) -> None:
         self._steering = steering
@@ -82,7 +92,9 @@
         self._seeds = seeds
         self._is_reading = is_reading
         self._clock = clock
+        self._on_relayed = on_relayed
         self._on_event = on_event
+        self._relay_limit = RateLimit(RELAYS_PER_SECOND)
         self._pulling_from: set[Address] = set()
         self._socket = sockets.socket(sockets.AF_INET, sockets.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -123,6 +135,20 @@
                 return
             gevent.sleep(PULL_PAUSE_SECONDS)
 
+    def relay(self, data: bytes) -> str | None:
+        """Hand a caller's packet to a balancer that may know its flow.
+
+        Returns
+        -------
+        str or None
+            Who got it; None if nobody is there or too many were handed over.
+        """
+        revision = self._steering.replica.revision
+        helper = self._steering.members.draw_helper(self._clock(), revision)
+        if helper is None or not self._relay_limit.take():
+            return None
+        return helper.name if self._send(RELAY_MARK + data, helper) else None
+
     def heartbeat(self, *, n_known: int = N_KNOWN) -> Heartbeat:
         """Return what this balancer tells of itself now."""
         steering = self._steering
@@ -144,10 +170,15 @@
             return
         data = encode_heartbeat(self.heartbeat())
         for entry in told:
-            try:
-                self._socket.sendto(data, (entry.host, self._peer_port))
-            except OSError as error:
-                self._on_event("heartbeat_unsent", to=entry.name, error=repr(error))
+            self._send(data, entry)
+
+    def _send(self, data: bytes, entry: MemberEntry) -> bool:
+        try:
+            self._socket.sendto(data, (entry.host, self._peer_port))
+        except OSError as error:
+            self._on_event("message_unsent", to=entry.name, error=repr(error))
+            return False
+        return True
 
     def _receive(self) -> None:
         while True:
@@ -158,6 +189,9 @@
             except OSError as error:
                 self._on_event("heartbeat_unread", error=repr(error))
                 return
+            if data.startswith(RELAY_MARK):
+                self._on_relayed(data.removeprefix(RELAY_MARK))
+                continue
             heartbeat = decode_heartbeat(data)
             if isinstance(heartbeat, Refused):
                 self._on_event("heartbeat_refused", reason=heartbeat.detail)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -13,11 +13,12 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from stoattray_balancer._logs import log_event, set_up_logging
 from stoattray_balancer.steering._http import http_server
 from stoattray_balancer.steering._peer_codec import encode_member
 from stoattray_balancer.steering.datagrams import DatagramPath, Header
+from stoattray_balancer.steering.event_log import EventLog
 from stoattray_balancer.steering.peers import Peers
+from stoattray_balancer.steering.process_metrics import metrics_text
 from stoattray_balancer.steering.settings import (
     SteeringSettings,
     load_steering_settings,
@@ -39,6 +40,7 @@
 """Routers take two missed checks, half a second apart, to turn away."""
 
 STOP_CHECK_SECONDS = 0.05
+METRICS_PATH = "/metrics"
 
 READY_HOLD_SECONDS = 0.4
 """A readiness check that comes during the start is answered as soon as ready; it is
@@ -54,21 +56,6 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
-def forever(action: Callable[[], None], name: str) -> Callable[[], None]:
-    """Return a loop that starts `action` again after an unexpected error."""
-
-    def run() -> None:
-        while True:
-            try:
-                action()
-                return
-            except Exception as error:  # noqa: BLE001 - the process must go on
-                log_event("task_failed", task=name, error=repr(error))
-                gevent.sleep(STOP_CHECK_SECONDS)
-
-    return run
-
-
 class SteeringProcess:
     """Wires the decisions to sockets, peers and the platform.
 
@@ -101,6 +88,7 @@
         readiness: int,
     ) -> None:
         self._path = path
+        self._log = EventLog(sys.stdout.fileno(), boot_millis)
         self._settings = load_steering_settings(path)
         self._readiness_path = readiness_path
         self._readiness_socket = socket.socket(fileno=readiness)
@@ -118,28 +106,29 @@
             decoder=decoder,
             flow_life=settings.flow_life_ms,
             random=self._random,
-            on_event=log_event,
+            on_event=self._log,
         )
         self._datagrams = DatagramPath(
             self._steering,
             header,
             sockets.socket(fileno=datagrams),
             clock=boot_millis,
-            on_event=log_event,
+            relay=lambda data: self._peers.relay(data),
+            on_event=self._log,
         )
         self._reader = StoreReader(
             self._steering,
             client(settings),
             clock=boot_millis,
             random=self._random,
-            on_event=log_event,
+            on_event=self._log,
         )
         self._registration = Registration(
             client(settings),
             settings.member,
             encode_member(self._own),
             random=self._random,
-            on_event=log_event,
+            on_event=self._log,
         )
         self._peers = Peers(
             self._steering,
@@ -148,26 +137,28 @@
             seeds=settings.seeds,
             is_reading=lambda: self._reader.is_answered,
             clock=boot_millis,
-            on_event=log_event,
+            on_relayed=self._datagrams.take_relayed,
+            on_event=self._log,
         )
         self._is_stopping = False
         self._is_turning_away = False
 
     def run(self) -> int:
         """Serve until told to stop; return the exit status."""
-        set_up_logging("info", stream=sys.stdout)
+        self._log.set_up("info")
         gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         with ExitStack() as stack:
             stack.enter_context(self._paths())
             stack.enter_context(self._servers())
             stack.enter_context(self._tasks())
-            log_event("started", member=self._settings.member)
+            self._log("started", member=self._settings.member)
             self._wait_ready()
             while not self._is_stopping:
                 gevent.sleep(STOP_CHECK_SECONDS)
             self._drain()
-        log_event("stopped")
+        self._log("stopped")
+        self._log.flush()
         return 0
 
     def _wait_ready(self) -> None:
@@ -176,13 +167,18 @@
             gevent.sleep(READY_CHECK_SECONDS)
         self._datagrams.start()
         self._ready.set()
-        log_event("ready", waited_ms=boot_millis() - started)
+        self._log("ready", waited_ms=boot_millis() - started)
 
     def _answer_http(self, path: str) -> tuple[int, str]:
         if path == self._readiness_path:
             self._ready.wait(READY_HOLD_SECONDS)
             is_ready = self._steering.is_ready and not self._is_turning_away
             return (200, "ready\n") if is_ready else (503, "not ready\n")
+        if path == METRICS_PATH:
+            text = metrics_text(
+                self._steering, self._datagrams, self._reader, boot_millis()
+            )
+            return 200, text
         return 404, "not found\n"
 
     def _on_stop_signal(self) -> None:
@@ -192,12 +188,12 @@
         """Forward until routers have turned away, then take the own record away."""
         started = boot_millis()
         last = started + self._settings.grace_ms - STOP_MARGIN_MILLIS
-        log_event("stopping", n_flows=self._steering.n_flows)
+        self._log("stopping", n_flows=self._steering.n_flows)
         self._wait_turn(last - TURN_AWAY_MILLIS)
         self._is_turning_away = True
         self._peers.is_leaving = True
         turned_at = boot_millis()
-        log_event("turning_away", waited_ms=turned_at - started)
+        self._log("turning_away", waited_ms=turned_at - started)
         earliest = turned_at + TURN_AWAY_MILLIS
         while boot_millis() < last:
             now = boot_millis()
@@ -220,11 +216,11 @@
         try:
             settings = load_steering_settings(self._path)
         except StoattrayError as error:
-            log_event("reload_failed", kind=error.kind, reason=error.reason)
+            self._log("reload_failed", kind=error.kind, reason=error.reason)
             return
         if settings != self._settings:
             self._settings = settings
-            log_event("reloaded")
+            self._log("reloaded")
 
     def _watch_settings(self) -> None:
         while True:
@@ -258,6 +254,17 @@
             for server in servers:
                 server.stop(timeout=0)
 
+    def _run_task(self, name: str, action: Callable[[], None]) -> None:
+        """Run a task, and start it again after an unexpected error."""
+        while True:
+            try:
+                action()
+            except Exception as error:  # noqa: BLE001 - the process must go on
+                self._log("task_failed", task=name, error=repr(error))
+                gevent.sleep(STOP_CHECK_SECONDS)
+            else:
+                return
+
     @contextmanager
     def _tasks(self) -> Iterator[None]:
         actions = {
@@ -267,8 +274,9 @@
             "heartbeats": self._peers.run_heartbeats,
             "registration": self._registration.run,
             "settings": self._watch_settings,
+            "log": self._log.run,
         }
-        tasks = [gevent.spawn(forever(run, name)) for name, run in actions.items()]
+        tasks = [gevent.spawn(self._run_task, *item) for item in actions.items()]
         try:
             yield
         finally:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -6,6 +6,7 @@
 import gevent
 
 from stoattray_balancer._call_limits import BackOff
+from stoattray_balancer.steering.metrics import CallMetrics
 from stoattray_balancer.steering.store_client import StoreClient
 from stoattray_core._errors import ErrorKind
 from stoattray_core._identifiers import Millis
@@ -78,6 +79,7 @@
         self._on_event = on_event
         self._back_off = BackOff(FIRST_BACK_OFF_SECONDS, MAX_BACK_OFF_SECONDS, random)
         self._must_read_all = False
+        self.calls = CallMetrics()
 
     @property
     def is_reading(self) -> bool:
@@ -107,6 +109,9 @@
             answer = self._client.read_all()
         else:
             answer = self._client.wait_changes(revision, WAIT_MILLIS)
+        operation = "read" if revision == 0 or self._must_read_all else "watch"
+        kind = answer.kind if isinstance(answer, Refused) else "ok"
+        self.calls.note(operation, kind, self._clock() - asked_at)
         if isinstance(answer, Refused):
             return self._note_refusal(answer)
         self._must_read_all = False
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -213,6 +213,30 @@
         """Return how many live balancers of the data centre have an earlier name."""
         return sum(row.entry.name < self._own.name for row in self.near(now))
 
+    def draw_helper(self, now: Millis, revision: int) -> MemberEntry | None:
+        """Return a balancer that may know what this one does not, or None.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        revision : int
+            Revision of the own copy; balancers with a later one go first.
+        """
+        ready = [row for row in self.live(now) if row.is_ready]
+        if not ready:
+            return None
+        own = self._own.data_centre
+        best = max(
+            ready,
+            key=lambda row: (
+                row.revision > revision,
+                row.entry.data_centre == own,
+                self._random.random(),
+            ),
+        )
+        return best.entry
+
     def draw_told(self, now: Millis, *, with_far: bool) -> list[MemberEntry]:
         """Return whom to send the next heartbeat."""
         near: list[MemberEntry] = []
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -25,6 +25,7 @@
     MemberEntry,
 )
 from stoattray_core.steering.flows import FlowRow, FlowTable
+from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.members import Heartbeat, MemberTable
 from stoattray_core.steering.replica import Difference, Record, Replica
 from stoattray_core.steering.selection import Selection, pick_service
@@ -103,7 +104,13 @@
     """Takes what an operator may want to read."""
 
     def __call__(self, name: str, **fields: str | int | float | bool | None) -> None:
-        """Write one event."""
+        """Write one event, or count it where its kind has used up its budget."""
+
+    def wants(self, name: str) -> bool:
+        """Return whether an event of this kind would be written now."""
+
+    def left_out(self, name: str) -> None:
+        """Count an event that was not even put together."""
 
 
 class Steering:
@@ -137,6 +144,7 @@
         self.store_health = StoreHealth(FIRST_RETURN_MILLIS)
         self.replica = Replica()
         self.counters: Counter[str] = Counter()
+        self.follow_ups = Histogram()
         self._decoder = decoder
         self._random = random
         self._on_event = on_event
@@ -221,8 +229,7 @@
         if packet.is_opening:
             return self._route_opening(packet, flow, now)
         if flow is None:
-            server = self.servers.by_cookie(packet.cookie)
-            return server if server is not None else UNKNOWN_COOKIE
+            return self.servers.by_cookie(packet.cookie) or UNKNOWN_COOKIE
         flow.last_at = now
         if not flow.has_followed:
             self._pin(flow, packet, now)
@@ -317,6 +324,29 @@
             judge_at=now + self.patience,
         )
         self._flows.open(flow, is_judged=now >= self._judge_from)
+        self._tell_opened(packet, server, now)
+
+    def _tell_opened(self, packet: Packet, server: ServerRow, now: Millis) -> None:
+        """Write where a flow was opened and why, within the budget of routine."""
+        if not self._on_event.wants("flow_opened"):
+            self._on_event.left_out("flow_opened")
+            return
+        assert self._configuration is not None
+        self._on_event(
+            "flow_opened",
+            flow=flow_name(packet.key),
+            server=server.name,
+            service=server.entry.service,
+            data_centre=server.entry.data_centre,
+            n_open=server.n_open,
+            peer_load=server.peer_load,
+            is_suspect=server.is_suspect(now),
+            presence=server.presence.value,
+            heard_age_ms=now - server.heard_at,
+            version=self._configuration.version,
+            revision=self.replica.revision,
+            confirmed_age_ms=self.confirmed_age(now),
+        )
 
     def _pin(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
         """Fix the server of a flow by the first packet that follows its opening.
@@ -328,6 +358,8 @@
         if named is not None and named is not flow.server:
             self._flows.move(flow, named)
         waited = now - flow.sent_at if len(flow.tried) == 1 else None
+        if waited is not None:
+            self.follow_ups.observe(waited)
         if self._suspicion.note_answer(flow.server, waited, now):
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.follow(flow)
@@ -351,6 +383,14 @@
         if isinstance(server, Refused) or server in flow.tried:
             return None
         self.counters["openings_tried_again"] += 1
+        self._on_event(
+            "opening_tried_again",
+            flow=flow_name(flow.key),
+            silent=silent.name,
+            server=server.name,
+            n_tried=len(flow.tried),
+            waited_ms=now - flow.sent_at,
+        )
         self._flows.retry(flow, server, now)
         flow.judge_at = now + self.patience
         self._flows.wait(flow)
@@ -423,3 +463,12 @@
                 reason=reason,
                 revision=record.revision,
             )
+
+
+def flow_name(key: bytes) -> str:
+    """Return a flow's id for people: caller, then service, as address and port."""
+    caller = ".".join(str(part) for part in key[:4])
+    service = ".".join(str(part) for part in key[4:8])
+    caller_port = int.from_bytes(key[10:12])
+    service_port = int.from_bytes(key[8:10])
+    return f"{caller}:{caller_port}>{service}:{service_port}"
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -32,6 +32,14 @@
     def __call__(self, name: str, **fields: object) -> None:
         self.events.append((name, fields))
 
+    def wants(self, name: str) -> bool:
+        """Return that every event is wanted."""
+        return True
+
+    def left_out(self, name: str) -> None:
+        """Never called, since every event is wanted."""
+        raise AssertionError(name)
+
     def names(self) -> list[str]:
         """Return the names of the events so far."""
         return [name for name, _ in self.events]
