--- /dev/null
+++ b/tests/balancer/steering/test_event_log.py
@@ -0,0 +1,97 @@
+"""Log lines stay within their budget and never hold up the process."""
+
+import logging
+import os
+import unittest
+
+from stoattray_balancer._logs import LOGGER
+from stoattray_balancer.steering.event_log import (
+    MAX_WAITING_BYTES,
+    OTHERS_PER_SECOND,
+    ROUTINE_PER_SECOND,
+    EventLog,
+)
+
+
+class EventLogTest(unittest.TestCase):
+    """Budgets, full pipes and closed ones."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.now = 1_000
+        self.log = EventLog(self.writer, lambda: self.now)
+        before = (LOGGER.handlers[:], LOGGER.level, LOGGER.propagate)
+        self.addCleanup(self.restore, *before)
+        self.log.set_up("info")
+
+    def tearDown(self):
+        os.close(self.writer)
+
+    @staticmethod
+    def restore(handlers, level, propagate):
+        LOGGER.handlers[:] = handlers
+        LOGGER.setLevel(level)
+        LOGGER.propagate = propagate
+
+    def read(self):
+        self.log.flush()
+        return os.read(self.reader, 1_000_000).decode().splitlines()
+
+    def test_one_line_of_pairs(self):
+        self.log("store_lost", kind="platform_unavailable", detail="status 503")
+        [line] = self.read()
+        self.assertIn("event=store_lost kind=platform_unavailable", line)
+        self.assertIn('detail="status 503"', line)
+
+    def test_routine_has_a_smaller_budget_and_failures_are_not_crowded_out(self):
+        for _ in range(1_000):
+            self.log("flow_opened", flow="a")
+        for _ in range(1_000):
+            self.log("packet_refused", kind="no_route")
+        lines = self.read()
+        self.assertEqual(
+            sum("flow_opened" in line for line in lines), ROUTINE_PER_SECOND
+        )
+        n_refused = sum("packet_refused" in line for line in lines)
+        self.assertEqual(n_refused, OTHERS_PER_SECOND)
+
+    def test_budget_comes_back_each_second(self):
+        for _ in range(ROUTINE_PER_SECOND):
+            self.log("flow_opened")
+        self.assertFalse(self.log.wants("flow_opened"))
+        self.now += 1_000
+        self.assertTrue(self.log.wants("flow_opened"))
+
+    def test_what_was_left_out_is_said(self):
+        for _ in range(ROUTINE_PER_SECOND + 7):
+            self.log("flow_opened")
+        self.log.left_out("flow_opened")
+        self.read()
+        self.log._say_left_out()
+        [line] = self.read()
+        self.assertIn("event=events_left_out kind=flow_opened n_events=8", line)
+
+    def test_reader_that_does_not_read_costs_lines_but_no_time(self):
+        for second in range(2_000):
+            self.now = second * 1_000
+            self.log("packet_refused", detail="x" * 400)
+            if second % 50 == 0:
+                self.log.flush()
+        self.log.flush()
+        self.assertLess(len(self.log._handler._lines), MAX_WAITING_BYTES + 1_000)
+        self.assertGreater(self.log._left_out["unread"], 0)
+
+    def test_closed_reader_stops_nothing(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        log = EventLog(writer, lambda: self.now)
+        log.set_up("info")
+        log("started")
+        log.flush()
+        os.close(writer)
+        self.assertEqual(log.n_written, 0)
+
+    def test_level_applies(self):
+        self.log.set_up("error")
+        self.assertFalse(LOGGER.isEnabledFor(logging.INFO))
--- /dev/null
+++ b/tests/balancer/steering/test_metrics.py
@@ -0,0 +1,43 @@
+"""Counters and histograms as text with a bounded number of lines."""
+
+import unittest
+
+from stoattray_balancer.steering.metrics import (
+    MAX_LABELS,
+    CallMetrics,
+    counter_lines,
+    gauge_line,
+)
+from stoattray_core.steering.histogram import Histogram
+
+
+class MetricsTest(unittest.TestCase):
+    """Lines that a scraper reads."""
+
+    def test_histogram_counts_are_cumulative(self):
+        histogram = Histogram()
+        for millis in (1, 7, 7, 9_999):
+            histogram.observe(millis)
+        lines = list(histogram.lines("x"))
+        self.assertIn('x_bucket{le="1"} 1', lines)
+        self.assertIn('x_bucket{le="10"} 3', lines)
+        self.assertIn('x_bucket{le="+Inf"} 4', lines)
+        self.assertIn("x_count 4", lines)
+
+    def test_calls_by_operation_and_answer(self):
+        calls = CallMetrics()
+        calls.note("watch", "ok", 900)
+        calls.note("watch", "platform_unavailable", 3)
+        lines = list(calls.lines("calls"))
+        self.assertIn('calls_total{operation="watch",answer="ok"} 1', lines)
+        self.assertIn('calls_ms_count{operation="watch"} 2', lines)
+
+    def test_number_of_label_values_is_bounded(self):
+        counts = {f"v{number}": number + 1 for number in range(500)}
+        lines = list(counter_lines("x", "kind", counts))
+        self.assertEqual(len(lines), MAX_LABELS + 1)
+        total = sum(int(line.rsplit(" ", 1)[1]) for line in lines)
+        self.assertEqual(total, sum(counts.values()))
+
+    def test_missing_gauge_has_no_line(self):
+        self.assertEqual(list(gauge_line("x", None)), [])
--- /dev/null
+++ b/tests/balancer/steering/test_settings.py
@@ -0,0 +1,74 @@
+"""Settings: good ones are read, bad ones refused with the offending value."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from stoattray_balancer.steering.settings import load_steering_settings
+from stoattray_core._errors import ErrorKind, StoattrayError
+
+GOOD = {
+    "member": "edge-1",
+    "data_centre": "luzon-a",
+    "host": "10.1.0.10",
+    "seed_server": "10.1.0.10:8166",
+    "metrics_port": 9464,
+    "peer_port": 7720,
+    "seeds": ["10.1.0.10:8166"],
+    "store": "10.200.1.7:8169",
+    "store_reads_per_second": 2000,
+    "min_lease_ms": 1000,
+    "flow_life_seconds": 60,
+    "in_force_ms": 3000,
+    "grace_seconds": 6,
+}
+
+
+class SteeringSettingsTest(unittest.TestCase):
+    """Reading a settings file."""
+
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "settings.json")
+            path.write_text(text)
+            return load_steering_settings(str(path))
+
+    def test_good(self):
+        settings = self.load(json.dumps(GOOD))
+        self.assertEqual(settings.store, ("10.200.1.7", 8_169))
+        self.assertEqual(settings.grace_ms, 6_000)
+        self.assertEqual(settings.seed_server, ("10.1.0.10", 8_166))
+
+    def test_without_seed_server(self):
+        settings = self.load(json.dumps({**GOOD, "seed_server": "", "seeds": []}))
+        self.assertIsNone(settings.seed_server)
+
+    def test_bad_values_name_the_setting(self):
+        changes = (
+            {"peer_port": 0},
+            {"peer_port": "7720"},
+            {"grace_seconds": True},
+            {"store": "10.200.1.7"},
+            {"store": "10.200.1.7:99999"},
+            {"seeds": "10.1.0.10:8166"},
+            {"seeds": [5]},
+            {"member": 7},
+            {"flow_life_seconds": 0},
+        )
+        for change in changes:
+            with self.subTest(change), self.assertRaises(StoattrayError) as caught:
+                self.load(json.dumps({**GOOD, **change}))
+            self.assertEqual(caught.exception.kind, ErrorKind.INVALID_ARGUMENT)
+            self.assertIn(next(iter(change)), caught.exception.reason)
+
+    def test_missing_values_and_files(self):
+        for name in set(GOOD) - {"seed_server"}:
+            values = {key: value for key, value in GOOD.items() if key != name}
+            with self.subTest(name), self.assertRaises(StoattrayError):
+                self.load(json.dumps(values))
+        for text in ("", "[]", "{"):
+            with self.subTest(text), self.assertRaises(StoattrayError):
+                self.load(text)
+        with self.assertRaises(StoattrayError):
+            load_steering_settings("/nowhere/settings.json")
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -195,7 +195,7 @@
 
     def test_stale_peer_changes_nothing(self):
         balancer = started("i-01", "i-02")
-        record = balancer.decoder.record("op/config", 1, configuration(version=9))
+        record = balancer.decoder.record("configuration", 1, configuration(version=9))
         stale = Difference(1, [record], True)
         peer = heartbeat(revision=1)
         balancer.steering.take_from_peer(peer, stale, balancer.now)
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -220,7 +220,7 @@
 
 def _key(entry: Entry | Refused) -> str:
     if isinstance(entry, Configuration):
-        return "op/config"
+        return "configuration"
     if isinstance(entry, BackendServerEntry):
         return f"servers/{entry.name}"
     return "members/x"
