a balancer that stood still checks the time before its first decision

Change: the pause is noticed in the packet path too; openings that waited judge nobody and are dropped after a pause of 2.4 s or more.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
@@ -113,6 +113,7 @@
             gevent.sleep(TICK_SECONDS if is_waiting else REST_TICK_SECONDS)
 
     def _receive(self) -> None:
+        self._steering.check_pause(self._clock())
         for _ in range(BATCH_PACKETS):
             try:
                 data = self._socket.recv(RECEIVE_BYTES)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -45,8 +45,12 @@
 """Servers that one opening packet is sent to; callers give up after 1.4 s."""
 
 BACKLOG_MILLIS = 50
-"""Packets taken so soon after the start waited in the socket; their callers may have
-given up, so silence after them says nothing about servers."""
+"""Packets taken so soon after a start or a pause waited in the socket; their callers may
+have given up, so silence after them says nothing about servers."""
+
+OUTDATED_MILLIS = 2_400
+"""After a longer pause no opening that waited is wanted any more: routers turn away
+after 1 s, and callers give up an unanswered opening after 1.4 s."""
 
 UNANSWERED_MILLIS = 1_500
 """Callers give up an unanswered opening after 1.4 s."""
@@ -60,6 +64,7 @@
 UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
 STALE_ROUTES = Refused(ErrorKind.UNKNOWN_ADDRESS)
 OPEN_ELSEWHERE = Refused(ErrorKind.NO_OWNER)
+OUTDATED = Refused(ErrorKind.HELD_TOO_LONG)
 
 
 class Packet(NamedTuple):
@@ -155,6 +160,7 @@
         self._confirmed_at: Millis | None = None
         self._ticked_at: Millis | None = None
         self._judge_from: Millis = 0
+        self._outdated_until: Millis = 0
         self._peer_loads: dict[str, list[tuple[ServerRow, int]]] = {}
 
     @property
@@ -237,17 +243,29 @@
             self._flows.close(flow)
         return flow.server
 
+    def check_pause(self, now: Millis) -> None:
+        """Notice that this process stood still, before anything is decided.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time, of a clock that counts while the VM is suspended.
+        """
+        ticked_at, self._ticked_at = self._ticked_at, now
+        if ticked_at is None or now - ticked_at <= FROZEN_MILLIS:
+            return
+        pause = now - ticked_at
+        self._judge_from = now + BACKLOG_MILLIS
+        if pause >= OUTDATED_MILLIS:
+            self._outdated_until = now + BACKLOG_MILLIS
+        self._on_event("woke", pause_ms=pause)
+
     def tick(self, now: Millis) -> Iterator[tuple[ServerRow, bytes]]:
         """Run what is due; yield opening packets to be sent to a further server."""
-        was_frozen = (
-            self._ticked_at is not None and now - self._ticked_at > FROZEN_MILLIS
-        )
-        if was_frozen:
-            self._on_event("woke", pause_ms=now - (self._ticked_at or 0))
-        self._ticked_at = now
+        self.check_pause(now)
         for flow in self._flows.take_overdue(now):
-            if was_frozen:
-                flow.judge_at = now + self.patience
+            if now < self._judge_from:
+                flow.judge_at = self._judge_from
                 self._flows.wait(flow)
                 continue
             again = self._judge_silent(flow, now)
@@ -290,6 +308,8 @@
             return flow.server
         if not self.is_ready:
             return NOT_READY
+        if now < self._outdated_until:
+            return OUTDATED
         avoid = flow.tried if flow is not None else []
         server = self._choose(packet.destination, now, avoid)
         if isinstance(server, Refused):
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -176,6 +176,24 @@
         self.assertFalse(server.is_suspect(balancer.now))
         self.assertIn("woke", balancer.recorder.names())
 
+    def test_openings_that_waited_through_a_long_pause_are_dropped(self):
+        balancer = started("i-01", "i-02")
+        balancer.wait(10)
+        balancer.now += 3_000
+        balancer.steering.check_pause(balancer.now)
+        self.assertEqual(balancer.open().kind, ErrorKind.HELD_TOO_LONG)
+        balancer.wait(60)
+        self.assertIn(balancer.open().name, ("i-01", "i-02"))
+
+    def test_openings_that_waited_through_a_short_pause_judge_nobody(self):
+        balancer = started("i-01", "i-02")
+        balancer.wait(10)
+        balancer.now += 1_000
+        balancer.steering.check_pause(balancer.now)
+        server = balancer.open()
+        self.assertEqual(balancer.wait(1_000), [])
+        self.assertFalse(server.is_suspect(balancer.now))
+
     def test_packets_that_waited_for_the_start_judge_nobody(self):
         balancer = started("i-01", "i-02")
         balancer.steering.start_forwarding(balancer.now)
