slow backend servers are told from callers' packets and get fewer flows

Change: the time from a request to the caller's next packet without data, per server against the service's usual; the load counts the flow to come, times that ratio. Tests: a balancer under load gives the slow host less than a tenth of the flows.

--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -30,6 +30,7 @@
     """
 
     __slots__ = (
+        "asked_at",
         "destination",
         "has_followed",
         "judge_at",
@@ -60,6 +61,7 @@
         self.judge_at = judge_at
         self.tried = [server]
         self.has_followed = False
+        self.asked_at: Millis | None = None
 
 
 class FlowTable:
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/pace.py
@@ -0,0 +1,64 @@
+"""How fast backend servers answer, seen from callers' packets alone.
+
+Answers do not pass the balancer. But a caller acknowledges or ends right after its
+answer, so the time from its request to its next packet without data is the server's
+time plus a round trip, which is alike for all servers of a service.
+"""
+
+from stoattray_core._identifiers import Millis
+from stoattray_core.steering.servers import ServerRow
+
+SMOOTHING = 0.15
+"""Share of a new sample; a change shows within some seven requests."""
+
+BASE_SMOOTHING = 0.02
+"""Share of a new sample in a service's usual time, over all of its servers."""
+
+MIN_SAMPLES = 4
+"""Requests before a server is called slow; single ones vary twofold."""
+
+SLOW_RATIO = 1.6
+"""Ratio to the service's usual time that is no chance of the request mix."""
+
+MAX_RATIO = 8.0
+"""Bound of what a server is taken to be slower."""
+
+FORGET_MILLIS = 3_000
+"""Time after which a slow server that gets no requests is tried again."""
+
+
+class Pace:
+    """Usual answer times of services, and of each server against them."""
+
+    def __init__(self) -> None:
+        self._usual: dict[str, float] = {}
+
+    def note_answer(self, server: ServerRow, waited: Millis, now: Millis) -> None:
+        """Note the time from a request to the caller's next packet.
+
+        Parameters
+        ----------
+        server : ServerRow
+            Server that answered.
+        waited : Millis
+            Time from request to acknowledgement or end.
+        now : Millis
+            Current time.
+        """
+        service = server.entry.service
+        usual = self._usual.get(service, float(waited))
+        self._usual[service] = usual + (waited - usual) * BASE_SMOOTHING
+        if server.n_answers == 0:
+            server.answer_millis = usual
+        server.answer_millis += (waited - server.answer_millis) * SMOOTHING
+        server.n_answers += 1
+        server.paced_at = now
+        ratio = server.answer_millis / max(1.0, self._usual[service])
+        is_slow = server.n_answers >= MIN_SAMPLES and ratio >= SLOW_RATIO
+        server.slowness = min(MAX_RATIO, ratio) if is_slow else 1.0
+
+    def forget(self, server: ServerRow, now: Millis) -> None:
+        """Try a slow server again that had no requests for long."""
+        if server.slowness > 1.0 and now - server.paced_at >= FORGET_MILLIS:
+            server.slowness = 1.0
+            server.n_answers = 0
--- a/packages/stoattray-core/src/stoattray_core/steering/selection.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/selection.py
@@ -1,9 +1,10 @@
 """Choice of a backend server for a new flow.
 
-Among the servers that take new flows, those that answer go before suspects, and
-a free slot in the own data centre before one elsewhere. Within a group the one
-with the fewest open flows for its capacity is taken, and chance decides between
-equals, so that balancers that see the same numbers do not choose the same server.
+Among the servers that take new flows, those that answer go before suspects. Then the
+one where the flow would be worked on soonest is taken: fewest open flows for its
+capacity, times how much slower than the others it answers, plus what a server in
+another data centre has to be freer by. Chance decides between equals, so that
+balancers that see the same numbers do not choose the same server.
 """
 
 from collections.abc import Sequence
@@ -80,7 +81,8 @@
         return best
 
     def _load(self, row: ServerRow, now: Millis) -> float:
-        load = (row.n_open + row.peer_load) * row.slowness / row.capacity(now)
+        n_flows = row.n_open + row.peer_load + 1
+        load = n_flows * row.slowness / row.capacity(now)
         if row.entry.data_centre != self._data_centre:
             load += FAR_COST
         return load
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -58,13 +58,16 @@
 
     __slots__ = (
         "address",
+        "answer_millis",
         "cookie",
         "entry",
         "heard_at",
         "last_answer_at",
+        "n_answers",
         "n_open",
         "n_silent",
         "n_unanswered",
+        "paced_at",
         "peer_load",
         "presence",
         "slowness",
@@ -86,6 +89,9 @@
         self.n_unanswered = 0
         self.peer_load = 0
         self.slowness = 1.0
+        self.answer_millis = 0.0
+        self.n_answers = 0
+        self.paced_at: Millis = 0
 
     @property
     def name(self) -> str:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -27,6 +27,7 @@
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.members import Heartbeat, MemberTable
+from stoattray_core.steering.pace import Pace
 from stoattray_core.steering.replica import Difference, Record, Replica
 from stoattray_core.steering.selection import Selection, pick_service
 from stoattray_core.steering.servers import (
@@ -45,8 +46,8 @@
 """Servers that one opening packet is sent to; callers give up after 1.4 s."""
 
 BACKLOG_MILLIS = 50
-"""Packets taken so soon after a start or a pause waited in the socket; their callers may
-have given up, so silence after them says nothing about servers."""
+"""Packets taken so soon after a start or a pause waited in the socket; callers may
+have given up on them, so silence after them says nothing about servers."""
 
 OUTDATED_MILLIS = 2_400
 """After a longer pause no opening that waited is wanted any more: routers turn away
@@ -82,6 +83,8 @@
         Whether the caller opens the flow, or ends its side of it.
     n_copy : int
         How often this opening packet was sent before.
+    has_data : bool
+        Whether it carries data.
     data : bytes
         The packet as it came.
     """
@@ -92,6 +95,7 @@
     is_opening: bool
     is_ending: bool
     n_copy: int
+    has_data: bool
     data: bytes
 
 
@@ -156,6 +160,7 @@
         self._configuration: Configuration | None = None
         self._selection = Selection(own.data_centre, random)
         self._suspicion = Suspicion()
+        self._pace = Pace()
         self._flows = FlowTable()
         self._confirmed_at: Millis | None = None
         self._ticked_at: Millis | None = None
@@ -239,6 +244,7 @@
         flow.last_at = now
         if not flow.has_followed:
             self._pin(flow, packet, now)
+        self._note_pace(flow, packet, now)
         if packet.is_ending:
             self._flows.close(flow)
         return flow.server
@@ -278,6 +284,8 @@
             for name in self.servers.end_lapses(now):
                 self._on_event("backend_server_gone", server=name, reason="lapsed")
         self.servers.expire(now)
+        for server in self.servers:
+            self._pace.forget(server, now)
         self._forget_silent_loads(now)
         idle = self._configuration.idle_limit if self._configuration else 0
         self._flows.expire(now, idle=idle, unanswered=UNANSWERED_MILLIS)
@@ -384,6 +392,15 @@
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.follow(flow)
 
+    def _note_pace(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
+        """Measure from a request to the caller's next packet without data."""
+        if packet.has_data:
+            if flow.asked_at is None:
+                flow.asked_at = now
+        elif flow.asked_at is not None:
+            self._pace.note_answer(flow.server, now - flow.asked_at, now)
+            flow.asked_at = None
+
     def _judge_silent(
         self, flow: FlowRow, now: Millis
     ) -> tuple[ServerRow, bytes] | None:
--- /dev/null
+++ b/tests/core/steering/test_pace.py
@@ -0,0 +1,78 @@
+"""Slow hosts are told from callers' packets, and get fewer flows."""
+
+import unittest
+
+from stoattray_core.steering.pace import FORGET_MILLIS, MAX_RATIO, Pace
+from tests.steering_builders import (
+    START,
+    Balancer,
+    configuration,
+    following,
+    server_entry,
+    server_row,
+)
+
+
+class PaceTest(unittest.TestCase):
+    """Answer times against the service's usual time."""
+
+    def setUp(self):
+        self.pace = Pace()
+        self.rows = [server_row(f"i-0{number}") for number in range(1, 5)]
+
+    def answer(self, row, waited, n_times=1):
+        for _ in range(n_times):
+            self.pace.note_answer(row, waited, START)
+
+    def test_equal_servers_are_not_slow(self):
+        for number in range(40):
+            self.answer(self.rows[number % 4], 20 + number % 7)
+        self.assertEqual({row.slowness for row in self.rows}, {1.0})
+
+    def test_slow_server_shows_within_a_few_requests(self):
+        for row in self.rows:
+            self.answer(row, 25, n_times=20)
+        self.answer(self.rows[0], 125, n_times=6)
+        self.assertGreater(self.rows[0].slowness, 2.0)
+        self.assertEqual(self.rows[1].slowness, 1.0)
+
+    def test_one_long_request_makes_no_slow_server(self):
+        for row in self.rows:
+            self.answer(row, 25, n_times=20)
+        self.answer(self.rows[0], 90)
+        self.assertEqual(self.rows[0].slowness, 1.0)
+
+    def test_slowness_is_bounded_and_forgotten(self):
+        for row in self.rows:
+            self.answer(row, 25, n_times=20)
+        self.answer(self.rows[0], 10_000, n_times=20)
+        self.assertLessEqual(self.rows[0].slowness, MAX_RATIO)
+        self.pace.forget(self.rows[0], START + FORGET_MILLIS)
+        self.assertEqual(self.rows[0].slowness, 1.0)
+
+
+class SlowHostTest(unittest.TestCase):
+    """A balancer under load with one host five times slower."""
+
+    def test_slow_host_gets_a_small_share(self):
+        balancer = Balancer()
+        names = [f"i-0{number}" for number in range(1, 5)]
+        balancer.declare(configuration(), *(server_entry(name) for name in names))
+        ends = []
+        counts = dict.fromkeys(names, 0)
+        for port in range(40_000, 40_600):
+            server = balancer.open(port)
+            counts[server.name] += 1
+            balancer.follow(port, server)
+            request = following(port, server.cookie, has_data=True)
+            balancer.steering.route_packet(request, balancer.now)
+            work = 125 if server.name == "i-01" else 25
+            ends.append((balancer.now + work, port, server.cookie))
+            balancer.wait(10)
+            for end in [end for end in ends if end[0] <= balancer.now]:
+                ends.remove(end)
+                last = following(end[1], end[2], is_ending=True)
+                balancer.steering.route_packet(last, balancer.now)
+            if port % 100 == 0:
+                balancer.steering.clean_up(balancer.now)
+        self.assertLess(counts["i-01"], 0.1 * sum(counts.values()))
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -202,6 +202,7 @@
         "is_opening": True,
         "is_ending": False,
         "n_copy": 0,
+        "has_data": False,
         "data": b"opening %d" % port,
         **changes,
     }
