slow servers show within three requests; peers' flows count less than own ones

Change: smoothing 0.15 -> 0.3, slow servers are left alone for 6 s in place of 3 s, a peer's flow counts 0.3.

--- a/packages/stoattray-core/src/stoattray_core/steering/pace.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pace.py
@@ -8,8 +8,8 @@
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.servers import ServerRow
 
-SMOOTHING = 0.15
-"""Share of a new sample; a change shows within some seven requests."""
+SMOOTHING = 0.3
+"""Share of a new sample; a change shows within some three requests."""
 
 BASE_SMOOTHING = 0.02
 """Share of a new sample in a service's usual time, over all of its servers."""
@@ -23,7 +23,7 @@
 MAX_RATIO = 8.0
 """Bound of what a server is taken to be slower."""
 
-FORGET_MILLIS = 3_000
+FORGET_MILLIS = 6_000
 """Time after which a slow server that gets no requests is tried again."""
 
 
--- a/packages/stoattray-core/src/stoattray_core/steering/selection.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/selection.py
@@ -17,6 +17,10 @@
 FAR_COST = 0.75
 """Slots' worth of load that a server in another data centre has to be freer by."""
 
+PEER_WEIGHT = 0.3
+"""Share of a flow that a peer told of: counts are up to 0.2 s old, and most flows
+last 30 ms. Counted whole they made 100 of 5,986 requests late where 69 were without."""
+
 
 def pick_service(route: Route, random: Random) -> str:
     """Return a service of `route`, drawn by its weights."""
@@ -81,7 +85,7 @@
         return best
 
     def _load(self, row: ServerRow, now: Millis) -> float:
-        n_flows = row.n_open + row.peer_load + 1
+        n_flows = row.n_open + PEER_WEIGHT * row.peer_load + 1
         load = n_flows * row.slowness / row.capacity(now)
         if row.entry.data_centre != self._data_centre:
             load += FAR_COST
