one long request makes no slow server

Cause: with the smoothing of 0.3 a single request of 3.6 times the usual time marked its server slow for 6 s (test_one_long_request_makes_no_slow_server failed). Change: samples of a server that is not slow are bounded by 2.8 times the usual.

--- a/packages/stoattray-core/src/stoattray_core/steering/pace.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pace.py
@@ -20,6 +20,10 @@
 SLOW_RATIO = 1.6
 """Ratio to the service's usual time that is no chance of the request mix."""
 
+FIRST_RATIO = 2.8
+"""Bound of a sample in multiples of the usual time while its server is not slow; one
+long request then makes no slow server, and two do."""
+
 MAX_RATIO = 8.0
 """Bound of what a server is taken to be slower."""
 
@@ -50,7 +54,9 @@
         self._usual[service] = usual + (waited - usual) * BASE_SMOOTHING
         if server.n_answers == 0:
             server.answer_millis = usual
-        server.answer_millis += (waited - server.answer_millis) * SMOOTHING
+        bound = MAX_RATIO if server.slowness > 1.0 else FIRST_RATIO
+        sample = min(float(waited), bound * max(1.0, usual))
+        server.answer_millis += (sample - server.answer_millis) * SMOOTHING
         server.n_answers += 1
         server.paced_at = now
         ratio = server.answer_millis / max(1.0, self._usual[service])
