--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -9,6 +9,7 @@
 import shutil
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 from run import play
@@ -38,7 +39,7 @@
     return 1 if n_broken else 0
 
 
-def _seeds(arguments: argparse.Namespace):
+def _seeds(arguments: argparse.Namespace) -> Iterator[int]:
     if arguments.replay is not None:
         yield json.loads(arguments.replay.read_text())["seed"]
         return
--- a/deploy/soak/fleet.py
+++ b/deploy/soak/fleet.py
@@ -14,6 +14,9 @@
 from proxy import LinkProxy
 
 PROGRAM = Path(__file__).parents[2] / "platform/src/stoattray_platform/__main__.py"
+PASSED_ON = {
+    name: os.environ[name] for name in ("PATH", "PYTHONPATH") if name in os.environ
+}
 GRACE_SECONDS = 6
 EXIT_SECONDS = 0.2
 MAX_MEMORY_BYTES = 96 * 1_048_576
@@ -105,10 +108,7 @@
                     "{}:{}".format(*self.datagrams),
                     "{}:{}".format(*self.readiness),
                 ],
-                env={
-                    "PATH": os.environ["PATH"],
-                    "STOATTRAY_NODE_FILE": str(self._path),
-                },
+                env={**PASSED_ON, "STOATTRAY_NODE_FILE": str(self._path)},
                 stdout=log,
                 stderr=log,
             )
