soak: phases of planned changes only, in which bounds hold and nothing is cut

Cause: put-in defects (draining servers chosen; cookies that differ by process) were not seen: faults overlapped all the time, so that no bound in time was in force. Change: phases of faults and of planned changes in turn; flows that a planned change cuts are a violation.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -138,6 +138,11 @@
         self._acknowledgement = 0
         self._sequence = world.random.randrange(1, 2**31)
 
+    @property
+    def key(self) -> bytes:
+        """Return the flow's key."""
+        return self._key
+
     def open(self) -> str:
         """Open the flow; return "open", "reset" or "unanswered"."""
         for n_copy, seconds in enumerate(COPY_SECONDS):
--- a/deploy/soak/promises.py
+++ b/deploy/soak/promises.py
@@ -25,7 +25,7 @@
         return self.now >= self.disturbed_until
 
     def disturb(self, seconds: float) -> None:
-        """Suspend bounds in time."""
+        """Suspend bounds in time, and the promise that nothing is cut."""
         self.disturbed_until = max(self.disturbed_until, self.now + seconds)
 
     def break_(self, promise: str, **details: object) -> None:
--- a/deploy/soak/run.py
+++ b/deploy/soak/run.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import gevent
-from callers import Caller, Routers
+from callers import Caller, CallerFlow, Routers
 from fleet import Balancer, Fleet, Ports
 from gevent import socket
 from hosts import Host, World
@@ -29,6 +29,9 @@
 """How long after a fault bounds in time do not hold yet."""
 
 IN_FORCE_SECONDS = 3.0
+DRAIN_SECONDS = 7.0
+"""How long a leaving host goes on serving; flows are at most 5 s long."""
+
 RECOVERED_SHARE = 0.95
 N_CALLERS = 6
 FLOWS_EACH = 4
@@ -171,6 +174,7 @@
     def _play_flow(self, caller: Caller) -> None:
         destination = self._random.choice(list(self._routes))
         flow = caller.open_flow(destination)
+        opened_at = self.promises.now
         outcome = flow.open()
         self.promises.counts[f"openings {outcome}"] += 1
         if outcome != "open":
@@ -184,10 +188,20 @@
             self.promises.counts[f"requests {outcome}"] += 1
             self._recent["served" if outcome == "answered" else "failed"] += 1
             if outcome != "answered":
+                self._judge_cut(flow, opened_at, destination, outcome)
                 break
             gevent.sleep(self._random.uniform(0.0, 0.2))
         flow.close()
 
+    def _judge_cut(
+        self, flow: CallerFlow, opened_at: float, destination: bytes, outcome: str
+    ) -> None:
+        """Check that planned changes cut nothing."""
+        is_host_there = self._world.owners.get(flow.key) in self._world.hosts
+        is_planned = self.promises.disturbed_until < opened_at
+        if is_planned and is_host_there and destination in self._routes:
+            self.promises.break_("planned changes cut nothing", outcome=outcome)
+
     def _check_recovered(self) -> None:
         n_all = sum(self._recent.values())
         if not n_all or self._recent["served"] < RECOVERED_SHARE * n_all:
@@ -276,7 +290,6 @@
 
     def _inject_roll(self, entry: Entry) -> None:
         for balancer in self._fleet.balancers[:2]:
-            self._disturb(1.0)
             self._fleet.restart(balancer, signal.SIGTERM, 0.3)
             gevent.sleep(1.0)
 
@@ -333,7 +346,7 @@
             return
         self._add_host(host.service)
         host.drain()
-        gevent.sleep(4.0)
+        gevent.sleep(DRAIN_SECONDS)
         host.stop()
         self._free_addresses.append(host.address)
 
--- a/deploy/soak/schedule.py
+++ b/deploy/soak/schedule.py
@@ -4,6 +4,13 @@
 from typing import NamedTuple
 
 FIRST_SECOND = 2.0
+FAULT_SECONDS = 8.0
+"""Length of a phase with faults of every kind, overlapping."""
+
+PLANNED_SECONDS = 16.0
+"""Length of a phase with planned changes only, which have to cut nothing; bounds in
+time hold from its fifth second on."""
+
 CALM_SECONDS = 6.0
 """Each run ends calm, so that recovery is seen."""
 
@@ -20,12 +27,21 @@
     pick: int
 
 
-KINDS = (
+PLANNED = (
+    "roll",
+    "reload",
+    "host_drain",
+    "host_reuse",
+    "host_add",
+    "configuration",
+    "configuration",
+    "malformed",
+)
+
+FAULTS = (
     "kill",
     "kill_all",
     "pause",
-    "roll",
-    "reload",
     "link_delay",
     "link_reset",
     "link_one_way",
@@ -35,12 +51,7 @@
     "store_lost",
     "store_compact",
     "store_revoke",
-    "host_drain",
     "host_crash",
-    "host_reuse",
-    "host_add",
-    "configuration",
-    "malformed",
 )
 
 
@@ -58,10 +69,10 @@
     entries = []
     at = FIRST_SECOND
     while at < seconds - CALM_SECONDS:
-        kind = random.choice(KINDS)
-        duration = random.uniform(0.5, 4.0)
-        entries.append(
-            Entry(round(at, 2), kind, round(duration, 2), random.getrandbits(30))
-        )
+        phase = (at - FIRST_SECOND) % (FAULT_SECONDS + PLANNED_SECONDS)
+        is_planned = phase >= FAULT_SECONDS
+        kind = random.choice(PLANNED if is_planned else PLANNED + FAULTS)
+        duration = round(random.uniform(0.5, 4.0), 2)
+        entries.append(Entry(round(at, 2), kind, duration, random.getrandbits(30)))
         at += random.choice(PAUSES) * random.uniform(0.5, 1.5)
     return entries
