--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -38,7 +38,7 @@
     yield from reader.calls.lines("stoattray_store_calls")
     yield from gauge_line("stoattray_open_flows", steering.n_flows)
     yield from gauge_line("stoattray_backend_servers", len(steering.servers))
-    suspects = sum(row.is_suspect(now) for row in steering.servers)
+    suspects = sum(steering.is_suspect(row, now) for row in steering.servers)
     yield from gauge_line("stoattray_suspect_backend_servers", suspects)
     live = len(steering.members.live(now))
     yield from gauge_line("stoattray_live_peers", live)
--- a/packages/stoattray-core/src/stoattray_core/steering/selection.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/selection.py
@@ -13,6 +13,7 @@
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import Route
 from stoattray_core.steering.servers import ServerRow
+from stoattray_core.steering.suspicion import Suspicion
 
 FAR_COST = 0.75
 """Slots' worth of load that a server in another data centre has to be freer by."""
@@ -42,12 +43,15 @@
     ----------
     data_centre : str
         Where this balancer stands.
+    suspicion : Suspicion
+        Says which servers wait their turn.
     random : Random
         Decides between equals.
     """
 
-    def __init__(self, data_centre: str, random: Random) -> None:
+    def __init__(self, data_centre: str, suspicion: Suspicion, random: Random) -> None:
         self._data_centre = data_centre
+        self._suspicion = suspicion
         self._random = random
 
     def choose(
@@ -74,7 +78,7 @@
             if not row.takes_new or row in avoid:
                 continue
             cost = (
-                int(row.is_suspect(now)),
+                int(self._suspicion.is_suspect(row, now)),
                 self._load(row, now),
                 self._random.random(),
             )
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -159,8 +159,8 @@
         self._random = random
         self._on_event = on_event
         self._configuration: Configuration | None = None
-        self._selection = Selection(own.data_centre, random)
-        self._suspicion = Suspicion()
+        self._suspicion = Suspicion(own.data_centre)
+        self._selection = Selection(own.data_centre, self._suspicion, random)
         self._pace = Pace()
         self._flows = FlowTable()
         self._confirmed_at: Millis | None = None
@@ -194,6 +194,10 @@
         """Return whether packets can be forwarded."""
         return self._configuration is not None and len(self.servers) > 0
 
+    def is_suspect(self, server: ServerRow, now: Millis) -> bool:
+        """Return whether a backend server waits its turn for silence."""
+        return self._suspicion.is_suspect(server, now)
+
     def confirmed_age(self, now: Millis) -> Millis:
         """Return how long ago the copy of the store was known to be complete."""
         return now if self._confirmed_at is None else now - self._confirmed_at
@@ -370,7 +374,7 @@
             data_centre=server.entry.data_centre,
             n_open=server.n_open,
             peer_load=server.peer_load,
-            is_suspect=server.is_suspect(now),
+            is_suspect=self.is_suspect(server, now),
             presence=server.presence.value,
             heard_age_ms=now - server.heard_at,
             version=self._configuration.version,
--- a/tests/core/steering/test_selection.py
+++ b/tests/core/steering/test_selection.py
@@ -6,6 +6,7 @@
 
 from stoattray_core.steering.entries import RequestKind, Route
 from stoattray_core.steering.selection import Selection, pick_service
+from stoattray_core.steering.suspicion import Suspicion
 from tests.steering_builders import START, server_row
 
 
@@ -13,7 +14,7 @@
     """Order of preference among backend servers."""
 
     def setUp(self):
-        self.selection = Selection("luzon-a", Random(1))
+        self.selection = Selection("luzon-a", Suspicion("luzon-a"), Random(1))
 
     def choose(self, *rows, **options):
         return self.selection.choose(rows, START, **options)
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -166,6 +166,44 @@
             balancer.wait(10)
         self.assertLess(n_slow, 20)
 
+    def test_data_centre_cut_off_is_left_alone_after_a_few_silent_servers(self):
+        balancer = Balancer()
+        far = [f"i-{number:02x}" for number in range(20, 40)]
+        balancer.declare(
+            configuration(),
+            server_entry("i-01"),
+            *(server_entry(name, data_centre="luzon-b") for name in far),
+        )
+        n_silent = 0
+        for port in range(40_000, 40_100):
+            server = balancer.open(port)
+            while server.name != "i-01":
+                n_silent += 1
+                again = balancer.wait(balancer.steering.patience + 5)
+                if not again:
+                    break
+                server = again[-1][0]
+            if server.name == "i-01":
+                balancer.follow(port, server)
+            balancer.wait(10)
+        self.assertLess(n_silent, 10)
+
+    def test_answer_from_a_data_centre_ends_its_suspicion(self):
+        balancer = Balancer()
+        far = [f"i-{number:02x}" for number in range(20, 40)]
+        balancer.declare(
+            configuration(),
+            *(server_entry(name, data_centre="luzon-b") for name in far),
+        )
+        for port in range(40_000, 40_010):
+            server = balancer.open(port)
+        balancer.wait(200)
+        balancer.follow(40_009, server)
+        rows = balancer.steering.servers
+        now = balancer.now
+        suspects = [row for row in rows if balancer.steering.is_suspect(row, now)]
+        self.assertLess(len(suspects), len(far))
+
     def test_answer_clears_suspicion(self):
         balancer = started("i-01")
         server = balancer.open()
