--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -35,6 +35,7 @@
             heartbeat.return_age,
             heartbeat.open_flows,
             [_member_row(entry) for entry in heartbeat.known],
+            heartbeat.failing,
         ]
     )
 
@@ -42,9 +43,11 @@
 def decode_heartbeat(data: bytes) -> Heartbeat | Refused:
     """Return the heartbeat in a datagram, or why there is none."""
     try:
-        version, member, ready, reader, revision, age, return_age, flows, known, *_ = (
-            msgpack.unpackb(data, strict_map_key=False)
-        )
+        row = msgpack.unpackb(data, strict_map_key=False)
+        version, member, ready, reader, revision, age, return_age, flows, known = row[
+            :9
+        ]
+        failing = row[9] if len(row) > 9 else ()
         if version != FORMAT_VERSION:
             return Refused(ErrorKind.MESSAGE_BAD_VERSION, f"version {version!r}")
         return Heartbeat(
@@ -58,7 +61,8 @@
                 _read_number(cookie): _read_number(n_flows)
                 for cookie, n_flows in flows.items()
             },
-            known=tuple(_read_member(row) for row in known),
+            known=tuple(_read_member(entry) for entry in known),
+            failing=tuple(_read_number(cookie) for cookie in failing),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -59,6 +59,8 @@
         Its open flows by cookie of the server.
     known : tuple of MemberEntry
         Some members that it hears.
+    failing : tuple of int
+        Cookies of servers that it takes to fail requests.
     """
 
     member: MemberEntry
@@ -69,6 +71,7 @@
     return_age: Millis | None
     open_flows: dict[int, int]
     known: tuple[MemberEntry, ...] = ()
+    failing: tuple[int, ...] = ()
 
 
 class MemberRow:
--- a/packages/stoattray-core/src/stoattray_core/steering/pace.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pace.py
@@ -14,6 +14,17 @@
 BASE_SMOOTHING = 0.02
 """Share of a new sample in a service's usual time, over all of its servers."""
 
+MIN_BASE_SAMPLES = 20
+"""Requests of a service before its usual time is known."""
+
+FAST_RATIO = 0.4
+"""Answers sooner than this share of the usual time are too fast: work times spread by
+half, so that a good one is so fast once in some 300 times."""
+
+FAST_SMOOTHING = 0.002
+"""Weight of fast answers in the usual time: failing servers give many of them, and must
+not become the rule; a service that truly got faster does within some hundreds."""
+
 MIN_SAMPLES = 4
 """Requests before a server is called slow; single ones vary twofold."""
 
@@ -36,8 +47,9 @@
 
     def __init__(self) -> None:
         self._usual: dict[str, float] = {}
+        self._n_samples: dict[str, int] = {}
 
-    def note_answer(self, server: ServerRow, waited: Millis, now: Millis) -> None:
+    def note_answer(self, server: ServerRow, waited: Millis, now: Millis) -> bool:
         """Note the time from a request to the caller's next packet.
 
         Parameters
@@ -48,10 +60,23 @@
             Time from request to acknowledgement or end.
         now : Millis
             Current time.
+
+        Returns
+        -------
+        bool
+            Whether the answer came far too fast to be a served request.
         """
         service = server.entry.service
         usual = self._usual.get(service, float(waited))
-        self._usual[service] = usual + (waited - usual) * BASE_SMOOTHING
+        n_samples = self._n_samples.get(service, 0) + 1
+        self._n_samples[service] = n_samples
+        is_fast = n_samples > MIN_BASE_SAMPLES and waited < FAST_RATIO * usual
+        smoothing = FAST_SMOOTHING if is_fast else BASE_SMOOTHING
+        if n_samples <= MIN_BASE_SAMPLES:
+            smoothing = 1 / n_samples
+        self._usual[service] = usual + (waited - usual) * smoothing
+        if is_fast:
+            return True
         if server.n_answers == 0:
             server.answer_millis = usual
         bound = MAX_RATIO if server.slowness > 1.0 else FIRST_RATIO
@@ -62,6 +87,7 @@
         ratio = server.answer_millis / max(1.0, self._usual[service])
         is_slow = server.n_answers >= MIN_SAMPLES and ratio >= SLOW_RATIO
         server.slowness = min(MAX_RATIO, ratio) if is_slow else 1.0
+        return False
 
     def forget(self, server: ServerRow, now: Millis) -> None:
         """Try a slow server again that had no requests for long."""
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -67,7 +67,10 @@
         "answer_millis",
         "cookie",
         "entry",
+        "failing_until",
+        "fast_share",
         "heard_at",
+        "is_own_verdict",
         "last_answer_at",
         "n_answers",
         "n_open",
@@ -98,6 +101,9 @@
         self.answer_millis = 0.0
         self.n_answers = 0
         self.paced_at: Millis = 0
+        self.fast_share = 0.0
+        self.failing_until: Millis = 0
+        self.is_own_verdict = False
 
     @property
     def name(self) -> str:
@@ -115,8 +121,8 @@
         return slots * COLD_CAPACITY_SHARE if now < self.warm_at else slots
 
     def is_suspect(self, now: Millis) -> bool:
-        """Return whether it lately left opening packets unanswered."""
-        return now < self.suspect_until
+        """Return whether it lately left openings unanswered, or failed requests."""
+        return now < self.suspect_until or now < self.failing_until
 
 
 class ServerTable:
@@ -153,6 +159,10 @@
         """Return the servers of a service, draining ones included."""
         return self._near.get(service, []) + self._far.get(service, [])
 
+    def n_of_service(self, service: str) -> int:
+        """Return how many servers a service has."""
+        return len(self._near.get(service, ())) + len(self._far.get(service, ()))
+
     def candidates(self, service: str, random: Random) -> list[ServerRow]:
         """Return servers of a service to choose from, a bounded number."""
         near = _window(self._near.get(service, []), N_NEAR_CANDIDATES, random)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -24,6 +24,7 @@
     Entry,
     MemberEntry,
 )
+from stoattray_core.steering.failures import Failures
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.members import Heartbeat, MemberTable
@@ -162,6 +163,8 @@
         self._suspicion = Suspicion(own.data_centre)
         self._selection = Selection(own.data_centre, self._suspicion, random)
         self._pace = Pace()
+        self._failures = Failures()
+        self._opinions: dict[int, set[str]] = {}
         self._flows = FlowTable()
         self._confirmed_at: Millis | None = None
         self._ticked_at: Millis | None = None
@@ -207,6 +210,10 @@
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
+    def failing(self) -> tuple[int, ...]:
+        """Return cookies of servers that this balancer takes to fail requests."""
+        return self._failures.cookies()
+
     def open_flows(self) -> dict[int, int]:
         """Return the open flows of this balancer by cookie of the server."""
         return {row.cookie: row.n_open for row in self.servers if row.n_open > 0}
@@ -224,6 +231,7 @@
         """Take what a peer tells; return whether it was not heard before."""
         is_news = self.members.hear(heartbeat, now)
         self._count_peer_load(heartbeat)
+        self._take_opinions(heartbeat, now)
         if heartbeat.return_age is not None:
             self.store_health.note_peer_return(heartbeat.return_age, now)
         if heartbeat.revision == self.replica.revision:
@@ -292,6 +300,7 @@
         for server in self.servers:
             self._pace.forget(server, now)
         self._forget_silent_loads(now)
+        self._failures.forget(now)
         idle = self._configuration.idle_limit if self._configuration else 0
         self._flows.expire(now, idle=idle, unanswered=UNANSWERED_MILLIS)
 
@@ -313,6 +322,8 @@
         for name in [name for name in self._peer_loads if name not in live]:
             for server, n_flows in self._peer_loads.pop(name):
                 server.peer_load -= n_flows
+            for peers in self._opinions.values():
+                peers.discard(name)
 
     def _route_opening(
         self, packet: Packet, flow: FlowRow | None, now: Millis
@@ -404,9 +415,39 @@
             if flow.asked_at is None:
                 flow.asked_at = now
         elif flow.asked_at is not None:
-            self._pace.note_answer(flow.server, now - flow.asked_at, now)
+            self._note_answered(flow.server, now - flow.asked_at, now)
             flow.asked_at = None
 
+    def _note_answered(self, server: ServerRow, waited: Millis, now: Millis) -> None:
+        is_fast = self._pace.note_answer(server, waited, now)
+        n_servers = self.servers.n_of_service(server.entry.service)
+        is_news = self._failures.note_answer(
+            server, now, is_fast=is_fast, n_servers=n_servers
+        )
+        if is_news:
+            self._on_event(
+                "backend_server_failing",
+                server=server.name,
+                fast_share=round(server.fast_share, 2),
+                waited_ms=waited,
+            )
+
+    def _take_opinions(self, heartbeat: Heartbeat, now: Millis) -> None:
+        """Take which servers a peer takes to fail."""
+        name = heartbeat.member.name
+        for peers in self._opinions.values():
+            peers.discard(name)
+        for cookie in heartbeat.failing:
+            self._opinions.setdefault(cookie, set()).add(name)
+            server = self.servers.by_cookie(cookie)
+            if server is None:
+                continue
+            n_servers = self.servers.n_of_service(server.entry.service)
+            n_peers = len(self._opinions[cookie])
+            self._failures.note_opinions(server, n_peers, now, n_servers=n_servers)
+        for cookie in [c for c, peers in self._opinions.items() if not peers]:
+            del self._opinions[cookie]
+
     def _judge_silent(
         self, flow: FlowRow, now: Millis
     ) -> tuple[ServerRow, bytes] | None:
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -38,6 +38,7 @@
             return_age=12,
             open_flows={4_000_000_000: 3},
             known=(member_entry("edge-3"),),
+            failing=(7, 4_000_000_001),
         )
         self.assertEqual(decode_heartbeat(encode_heartbeat(told)), told)
 
@@ -66,7 +67,7 @@
             decode(data)
         self.assertIsInstance(decode_heartbeat(data), Heartbeat | Refused)
 
-    @given(ANY_VALUE, st.integers(0, 8))
+    @given(ANY_VALUE, st.integers(0, 9))
     def test_any_value_in_any_place(self, value, place):
         row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
         row[place] = value
