refusals of full servers are not taken for failures

Change: fast answers do not count for a server with more than two flows a slot, nor while the near servers have more flows than slots; opinions of others hold 0.6 s and are not passed on.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -162,7 +162,7 @@
             return_age=steering.store_health.return_age(now),
             open_flows=steering.open_flows(),
             known=steering.members.draw_known(now, n_known),
-            failing=steering.failing(),
+            failing=steering.failing(now),
         )
 
     def _send_heartbeats(self, *, with_far: bool) -> None:
--- a/packages/stoattray-core/src/stoattray_core/steering/failures.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/failures.py
@@ -25,22 +25,35 @@
 RETRIED_SHARE = 0.2
 """Share that a server is tried again with: one fast answer proves it failing still."""
 
+BUSY_FLOWS_PER_SLOT = 2
+"""A server with more open flows may refuse work at once because its queue is full,
+which is no failure; a failing one has few, since its flows end early."""
+
 N_PEERS_AGREEING = 2
 """Other balancers whose opinions together count like the own one."""
 
+OPINION_MILLIS = 600
+"""How long others' opinions hold without being told again; heartbeats come each 0.2 s."""
+
 MAX_FAILING_SHARE = 0.5
 """Most of a service's servers that wait their turn for this; beyond it the judgement
-itself is in doubt, and the rest would be overloaded."""
+is in doubt itself, and the rest would be overloaded."""
 
 
 class Failures:
     """Judges servers by how many of their answers are far too fast."""
 
     def __init__(self) -> None:
-        self._failing: dict[str, dict[str, ServerRow]] = {}
+        self._own: dict[str, dict[str, ServerRow]] = {}
 
     def note_answer(
-        self, server: ServerRow, now: Millis, *, is_fast: bool, n_servers: int
+        self,
+        server: ServerRow,
+        now: Millis,
+        *,
+        is_fast: bool,
+        is_pressed: bool,
+        n_servers: int,
     ) -> bool:
         """Note an answer; return whether its server is newly taken to fail.
 
@@ -52,46 +65,49 @@
             Current time.
         is_fast : bool
             Whether the answer came far too fast.
+        is_pressed : bool
+            Whether the service has more flows than slots; full servers refuse work
+            at once, which is no failure.
         n_servers : int
             Servers of its service.
         """
+        n_flows = server.n_open + server.peer_load
+        if is_fast and n_flows > BUSY_FLOWS_PER_SLOT * server.entry.capacity:
+            return False
+        if is_fast and is_pressed:
+            return False
         server.fast_share += (is_fast - server.fast_share) * SMOOTHING
         if not is_fast or server.fast_share < FAILING_SHARE:
             return False
-        return self._take_failing(server, now, n_servers)
+        rows = self._own.setdefault(server.entry.service, {})
+        if server.name not in rows and len(rows) + 1 > n_servers * MAX_FAILING_SHARE:
+            return False
+        is_news = server.name not in rows
+        rows[server.name] = server
+        server.failing_until = now + FAILING_MILLIS
+        server.own_verdict_until = now + FAILING_MILLIS
+        return is_news
 
     def note_opinions(
         self, server: ServerRow, n_peers: int, now: Millis, *, n_servers: int
-    ) -> bool:
-        """Note how many other balancers take a server to fail."""
-        if n_peers >= N_PEERS_AGREEING:
-            return self._take_failing(server, now, n_servers)
-        server.fast_share = max(server.fast_share, PRIOR_SHARE)
-        return False
-
-    def cookies(self) -> tuple[int, ...]:
-        """Return the servers that this balancer itself takes to fail."""
+    ) -> None:
+        """Note how many other balancers found a server to fail by themselves."""
+        if n_peers < N_PEERS_AGREEING:
+            server.fast_share = max(server.fast_share, PRIOR_SHARE)
+        elif n_servers * MAX_FAILING_SHARE >= 1:
+            server.failing_until = max(server.failing_until, now + OPINION_MILLIS)
+
+    def cookies(self, now: Millis) -> tuple[int, ...]:
+        """Return the servers that this balancer itself found to fail."""
         return tuple(
             row.cookie
-            for rows in self._failing.values()
+            for rows in self._own.values()
             for row in rows.values()
-            if row.is_own_verdict
+            if now < row.own_verdict_until
         )
 
     def forget(self, now: Millis) -> None:
         """Try servers again that have waited for long enough."""
-        for rows in self._failing.values():
-            for name in [n for n, row in rows.items() if row.failing_until <= now]:
-                server = rows.pop(name)
-                server.fast_share = RETRIED_SHARE
-                server.is_own_verdict = False
-
-    def _take_failing(self, server: ServerRow, now: Millis, n_servers: int) -> bool:
-        rows = self._failing.setdefault(server.entry.service, {})
-        if server.name not in rows and len(rows) + 1 > n_servers * MAX_FAILING_SHARE:
-            return False
-        is_news = server.name not in rows
-        rows[server.name] = server
-        server.is_own_verdict = server.fast_share >= FAILING_SHARE
-        server.failing_until = now + FAILING_MILLIS
-        return is_news
+        for rows in self._own.values():
+            for name in [n for n, row in rows.items() if row.own_verdict_until <= now]:
+                rows.pop(name).fast_share = RETRIED_SHARE
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -70,12 +70,12 @@
         "failing_until",
         "fast_share",
         "heard_at",
-        "is_own_verdict",
         "last_answer_at",
         "n_answers",
         "n_open",
         "n_silent",
         "n_unanswered",
+        "own_verdict_until",
         "paced_at",
         "peer_load",
         "presence",
@@ -103,7 +103,7 @@
         self.paced_at: Millis = 0
         self.fast_share = 0.0
         self.failing_until: Millis = 0
-        self.is_own_verdict = False
+        self.own_verdict_until: Millis = 0
 
     @property
     def name(self) -> str:
@@ -163,6 +163,12 @@
         """Return how many servers a service has."""
         return len(self._near.get(service, ())) + len(self._far.get(service, ()))
 
+    def is_pressed(self, service: str, now: Millis) -> bool:
+        """Return whether the near servers of a service have more flows than slots."""
+        rows = self._near.get(service) or self._far.get(service, [])
+        n_flows = sum(row.n_open + row.peer_load for row in rows)
+        return n_flows > sum(row.capacity(now) for row in rows)
+
     def candidates(self, service: str, random: Random) -> list[ServerRow]:
         """Return servers of a service to choose from, a bounded number."""
         near = _window(self._near.get(service, []), N_NEAR_CANDIDATES, random)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -210,9 +210,9 @@
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
-    def failing(self) -> tuple[int, ...]:
-        """Return cookies of servers that this balancer takes to fail requests."""
-        return self._failures.cookies()
+    def failing(self, now: Millis) -> tuple[int, ...]:
+        """Return cookies of servers that this balancer itself found to fail."""
+        return self._failures.cookies(now)
 
     def open_flows(self) -> dict[int, int]:
         """Return the open flows of this balancer by cookie of the server."""
@@ -420,9 +420,13 @@
 
     def _note_answered(self, server: ServerRow, waited: Millis, now: Millis) -> None:
         is_fast = self._pace.note_answer(server, waited, now)
-        n_servers = self.servers.n_of_service(server.entry.service)
+        service = server.entry.service
         is_news = self._failures.note_answer(
-            server, now, is_fast=is_fast, n_servers=n_servers
+            server,
+            now,
+            is_fast=is_fast,
+            is_pressed=is_fast and self.servers.is_pressed(service, now),
+            n_servers=self.servers.n_of_service(service),
         )
         if is_news:
             self._on_event(
--- a/tests/core/steering/test_failures.py
+++ b/tests/core/steering/test_failures.py
@@ -24,7 +24,11 @@
     def answer(self, is_fast, n_times=1, n_servers=10):
         for _ in range(n_times):
             self.failures.note_answer(
-                self.row, START, is_fast=is_fast, n_servers=n_servers
+                self.row,
+                START,
+                is_fast=is_fast,
+                is_pressed=False,
+                n_servers=n_servers,
             )
 
     def test_three_fast_answers_in_a_row(self):
@@ -39,6 +43,28 @@
             self.answer(False, n_times=20)
         self.assertFalse(self.row.is_suspect(START))
 
+    def test_busy_server_that_sheds_is_not_failing(self):
+        self.row.n_open = 6
+        self.answer(True, n_times=20)
+        self.assertFalse(self.row.is_suspect(START))
+
+    def test_answers_of_a_pressed_service_are_not_judged(self):
+        for _ in range(20):
+            self.failures.note_answer(
+                self.row, START, is_fast=True, is_pressed=True, n_servers=10
+            )
+        self.assertFalse(self.row.is_suspect(START))
+
+    def test_balancers_do_not_keep_each_others_opinions_alive(self):
+        self.answer(True, n_times=3)
+        cookies = []
+        for now in range(START, START + 10_000, 200):
+            self.failures.note_opinions(self.row, 2, now, n_servers=10)
+            self.failures.forget(now)
+            cookies.append(self.failures.cookies(now))
+        self.assertEqual(cookies[0], (self.row.cookie,))
+        self.assertEqual(cookies[-1], ())
+
     def test_is_tried_again_and_found_again_by_one_answer_or_two(self):
         self.answer(True, n_times=3)
         later = START + FAILING_MILLIS
@@ -54,7 +80,7 @@
     def test_two_peers_count_like_the_own_opinion_and_are_not_passed_on(self):
         self.failures.note_opinions(self.row, 2, START, n_servers=10)
         self.assertTrue(self.row.is_suspect(START))
-        self.assertEqual(self.failures.cookies(), ())
+        self.assertEqual(self.failures.cookies(START), ())
 
     def test_one_peer_makes_the_own_judgement_quicker(self):
         self.failures.note_opinions(self.row, 1, START, n_servers=10)
