openings that even the best server would answer late are refused at once

Change: the requests that were sent and not answered, own and told by peers, times the usual work of the service by the slots give the wait; beyond 1.2 times the route's aim an opening is reset, for routes that others are put behind beyond 1.8 times.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -33,7 +33,7 @@
             heartbeat.revision,
             heartbeat.confirmed_age,
             heartbeat.return_age,
-            heartbeat.open_flows,
+            heartbeat.n_asked,
             [_member_row(entry) for entry in heartbeat.known],
             heartbeat.failing,
         ]
@@ -57,7 +57,7 @@
             revision=_read_number(revision),
             confirmed_age=_read_number(age),
             return_age=None if return_age is None else _read_number(return_age),
-            open_flows={
+            n_asked={
                 _read_number(cookie): _read_number(n_flows)
                 for cookie, n_flows in flows.items()
             },
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -160,7 +160,7 @@
             revision=steering.replica.revision,
             confirmed_age=max(0, steering.confirmed_age(now)),
             return_age=steering.store_health.return_age(now),
-            open_flows=steering.open_flows(),
+            n_asked=steering.unanswered_requests(),
             known=steering.members.draw_known(now, n_known),
             failing=steering.failing(now),
         )
--- a/packages/stoattray-core/src/stoattray_core/_errors.py
+++ b/packages/stoattray-core/src/stoattray_core/_errors.py
@@ -34,6 +34,7 @@
     HOP_LIMIT = "hop_limit"
     NOT_READY = "not_ready"
     QUEUE_FULL = "queue_full"
+    OVERLOADED = "overloaded"
     HELD_TOO_LONG = "held_too_long"
     MESSAGE_MALFORMED = "message_malformed"
     MESSAGE_BAD_VERSION = "message_bad_version"
@@ -90,6 +91,7 @@
     ErrorKind.HOP_LIMIT: Answer(),
     ErrorKind.NOT_READY: Answer(503, 5),
     ErrorKind.QUEUE_FULL: Answer(503, 5),
+    ErrorKind.OVERLOADED: Answer(503, 5, PacketAnswer.RESET),
     ErrorKind.HELD_TOO_LONG: Answer(503, 5),
     ErrorKind.MESSAGE_MALFORMED: Answer(400, 2),
     ErrorKind.MESSAGE_BAD_VERSION: Answer(400, 2),
--- a/packages/stoattray-core/src/stoattray_core/steering/entries.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/entries.py
@@ -27,12 +27,18 @@
         Services and their weights, at least one.
     kind : RequestKind
         What its requests may suffer.
+    aim : Millis or None
+        Time within which callers want an answer, where operators said so.
+    is_urgent : bool
+        Whether operators put other routes of its service behind it.
     """
 
     name: str
     destination: bytes
     shares: tuple[tuple[str, int], ...]
     kind: RequestKind
+    aim: Millis | None = None
+    is_urgent: bool = False
 
 
 class Configuration(NamedTuple):
--- a/packages/stoattray-core/src/stoattray_core/steering/failures.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/failures.py
@@ -27,13 +27,13 @@
 
 BUSY_FLOWS_PER_SLOT = 2
 """A server with more open flows may refuse work at once because its queue is full,
-which is no failure; a failing one has few, since its flows end early."""
+which is no failure; a failing one has few, as its flows end early."""
 
 N_PEERS_AGREEING = 2
 """Other balancers whose opinions together count like the own one."""
 
 OPINION_MILLIS = 600
-"""How long others' opinions hold without being told again; heartbeats come each 0.2 s."""
+"""How long others' opinions hold untold; heartbeats come each 0.2 s."""
 
 MAX_FAILING_SHARE = 0.5
 """Most of a service's servers that wait their turn for this; beyond it the judgement
--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -126,10 +126,24 @@
         row.opening = None
         row.server.n_unanswered -= 1
 
+    def ask(self, row: FlowRow, now: Millis) -> None:
+        """Note that the caller has sent a request."""
+        if row.asked_at is None:
+            row.asked_at = now
+            row.server.n_asked += 1
+
+    def take_asked(self, row: FlowRow) -> Millis | None:
+        """Return when an unanswered request was sent, and take it for answered."""
+        asked_at, row.asked_at = row.asked_at, None
+        if asked_at is not None:
+            row.server.n_asked -= 1
+        return asked_at
+
     def close(self, row: FlowRow) -> None:
         """Forget a flow."""
         if self._rows.pop(row.key, None) is None:
             return
+        self.take_asked(row)
         row.server.n_open -= 1
         if not row.has_followed:
             row.server.n_unanswered -= 1
@@ -153,13 +167,15 @@
         idle : Millis
             Limit for flows whose caller has gone on.
         unanswered : Millis
-            Limit for flows whose caller has not.
+            Limit for flows whose caller has not, and for requests to count as load.
         """
         n_expired = 0
         for _ in range(len(self._by_age)):
             row = self._by_age.popleft()
             if self._rows.get(row.key) is not row:
                 continue
+            if row.asked_at is not None and now - row.asked_at >= unanswered:
+                self.take_asked(row)
             limit = idle if row.has_followed else unanswered
             if now - row.last_at >= limit:
                 self.close(row)
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -55,8 +55,8 @@
         How long ago the store confirmed that.
     return_age : Millis or None
         How long ago the store came back after trouble.
-    open_flows : dict of int to int
-        Its open flows by cookie of the server.
+    n_asked : dict of int to int
+        Unanswered requests that it sees, by cookie of the server.
     known : tuple of MemberEntry
         Some members that it hears.
     failing : tuple of int
@@ -69,7 +69,7 @@
     revision: int
     confirmed_age: Millis
     return_age: Millis | None
-    open_flows: dict[int, int]
+    n_asked: dict[int, int]
     known: tuple[MemberEntry, ...] = ()
     failing: tuple[int, ...] = ()
 
--- a/packages/stoattray-core/src/stoattray_core/steering/pace.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pace.py
@@ -89,6 +89,12 @@
         server.slowness = min(MAX_RATIO, ratio) if is_slow else 1.0
         return False
 
+    def usual(self, service: str) -> float | None:
+        """Return the usual time of a service's answers, or None if not known yet."""
+        if self._n_samples.get(service, 0) < MIN_BASE_SAMPLES:
+            return None
+        return self._usual[service]
+
     def forget(self, server: ServerRow, now: Millis) -> None:
         """Try a slow server again that had no requests for long."""
         if server.slowness > 1.0 and now - server.paced_at >= FORGET_MILLIS:
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -56,8 +56,10 @@
         Flows that this balancer opened there and that have not ended.
     n_unanswered : int
         Of these, flows whose caller has not gone on yet.
+    n_asked : int
+        Of the open flows, those whose request has not been answered yet.
     peer_load : int
-        Open flows that other balancers tell of.
+        Unanswered requests that other balancers tell of.
     slowness : float
         Time that its flows take, in multiples of the service's usual time.
     """
@@ -72,6 +74,7 @@
         "heard_at",
         "last_answer_at",
         "n_answers",
+        "n_asked",
         "n_open",
         "n_silent",
         "n_unanswered",
@@ -96,6 +99,7 @@
         self.n_silent = 0
         self.n_open = 0
         self.n_unanswered = 0
+        self.n_asked = 0
         self.peer_load = 0
         self.slowness = 1.0
         self.answer_millis = 0.0
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -23,6 +23,7 @@
     Configuration,
     Entry,
     MemberEntry,
+    Route,
 )
 from stoattray_core.steering.failures import Failures
 from stoattray_core.steering.flows import FlowRow, FlowTable
@@ -43,6 +44,12 @@
 FROZEN_MILLIS = 200
 """A longer pause between two ticks says nothing about servers; ticks come each 5 ms."""
 
+AIM_SHARE = 1.2
+URGENT_AIM_SHARE = 1.8
+"""Waiting and work in multiples of a route's aim from which on openings are refused;
+what others told of their flows is old and makes them look 0.2 more. Routes that others
+are put behind are refused later. Trials: docs/design/0004."""
+
 MAX_TRIED = 3
 """Servers that one opening packet is sent to; with a quarter of them dead, fewer than
 one in fifty flows meets three, and callers send copies themselves."""
@@ -63,6 +70,7 @@
 
 NO_ROUTE = Refused(ErrorKind.NO_ROUTE)
 NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
+OVERLOADED = Refused(ErrorKind.OVERLOADED)
 NOT_READY = Refused(ErrorKind.NOT_READY)
 UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
 STALE_ROUTES = Refused(ErrorKind.UNKNOWN_ADDRESS)
@@ -214,9 +222,9 @@
         """Return cookies of servers that this balancer itself found to fail."""
         return self._failures.cookies(now)
 
-    def open_flows(self) -> dict[int, int]:
-        """Return the open flows of this balancer by cookie of the server."""
-        return {row.cookie: row.n_open for row in self.servers if row.n_open > 0}
+    def unanswered_requests(self) -> dict[int, int]:
+        """Return the unanswered requests seen here by cookie of the server."""
+        return {row.cookie: row.n_asked for row in self.servers if row.n_asked > 0}
 
     def start_forwarding(self, now: Millis) -> None:
         """Note that packets that waited for this start come first."""
@@ -310,7 +318,7 @@
         for server, n_flows in self._peer_loads.pop(name, ()):
             server.peer_load -= n_flows
         told = []
-        for cookie, n_flows in heartbeat.open_flows.items():
+        for cookie, n_flows in heartbeat.n_asked.items():
             server = self.servers.by_cookie(cookie)
             if server is not None:
                 server.peer_load += n_flows
@@ -356,7 +364,27 @@
         service = pick_service(route, self._random)
         rows = self.servers.candidates(service, self._random)
         server = self._selection.choose(rows, now, avoid=avoid)
-        return server if server is not None else NO_BACKEND_SERVER
+        if server is None:
+            return NO_BACKEND_SERVER
+        if self._is_overloaded(server, route, now):
+            self.counters["openings_overloaded"] += 1
+            return OVERLOADED
+        return server
+
+    def _is_overloaded(self, server: ServerRow, route: Route, now: Millis) -> bool:
+        """Return whether even the best server would work on a flow too late.
+
+        Late work makes all that comes after it late too, so that it is refused at once
+        while its caller can still go elsewhere.
+        """
+        usual = self._pace.usual(server.entry.service)
+        if usual is None or route.aim is None:
+            return False
+        work = max(1.0, usual - self._suspicion.usual_answer)
+        n_requests = server.n_asked + server.peer_load + 1
+        expected = n_requests * work * server.slowness / server.capacity(now)
+        share = URGENT_AIM_SHARE if route.is_urgent else AIM_SHARE
+        return expected > share * route.aim
 
     def _open(self, packet: Packet, server: ServerRow, now: Millis) -> None:
         self.counters["flows_opened"] += 1
@@ -412,11 +440,11 @@
     def _note_pace(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
         """Measure from a request to the caller's next packet without data."""
         if packet.has_data:
-            if flow.asked_at is None:
-                flow.asked_at = now
-        elif flow.asked_at is not None:
-            self._note_answered(flow.server, now - flow.asked_at, now)
-            flow.asked_at = None
+            self._flows.ask(flow, now)
+            return
+        asked_at = self._flows.take_asked(flow)
+        if asked_at is not None:
+            self._note_answered(flow.server, now - asked_at, now)
 
     def _note_answered(self, server: ServerRow, waited: Millis, now: Millis) -> None:
         is_fast = self._pace.note_answer(server, waited, now)
--- a/packages/stoattray-core/src/stoattray_core/steering/suspicion.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/suspicion.py
@@ -57,6 +57,11 @@
         self._cut_off_until: dict[str, Millis] = {}
         self._usual_answer = float(MIN_PATIENCE_MILLIS) / PATIENCE_FACTOR
 
+    @property
+    def usual_answer(self) -> float:
+        """Return the usual time until callers go on, about a round trip."""
+        return self._usual_answer
+
     @property
     def patience(self) -> Millis:
         """Return how long an opening packet may stay without follow-up."""
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -36,7 +36,7 @@
         told = heartbeat(
             revision=9,
             return_age=12,
-            open_flows={4_000_000_000: 3},
+            n_asked={4_000_000_000: 3},
             known=(member_entry("edge-3"),),
             failing=(7, 4_000_000_001),
         )
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -288,7 +288,7 @@
     def test_peers_open_flows_count_until_the_peer_falls_silent(self):
         balancer = started("i-01")
         [server] = balancer.steering.servers
-        told = heartbeat(open_flows={server.cookie: 3, 999: 1})
+        told = heartbeat(n_asked={server.cookie: 3, 999: 1})
         balancer.steering.take_heartbeat(told, balancer.now)
         balancer.steering.take_heartbeat(told, balancer.now)
         self.assertEqual(server.peer_load, 3)
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -122,7 +122,7 @@
         "revision": 0,
         "confirmed_age": 0,
         "return_age": None,
-        "open_flows": {},
+        "n_asked": {},
         **changes,
     }
     return Heartbeat(**values)
