a stopping balancer waits 2 s at most; copies are handed out a few at once

Change: the wait for a turn ends after 2 s. A balancer hands out three copies at once and names other members instead; starts ask ready members of their own data centre. A copy that has nothing yet is not confirmed by another one (found by the test of this change).

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -3,6 +3,7 @@
 import socket as sockets
 import struct
 from collections.abc import Callable
+from random import Random
 
 import gevent
 from gevent import socket
@@ -46,6 +47,17 @@
 RELAY_MARK = b"R"
 """First byte of a relayed packet; heartbeats start with the mark of an array."""
 
+MAX_COPIES_AT_ONCE = 3
+"""Whole copies handed out at the same time. Others are told of members to ask instead:
+with all balancers starting, those that have a copy double in each round, while three
+seeds alone would fill their links for half a minute at 300 balancers."""
+
+N_KNOWN_WHEN_BUSY = 24
+"""Members told of in place of a copy."""
+
+N_ASKED_AT_START = 3
+"""Members asked at once besides the seeds while not ready."""
+
 MAX_DATAGRAM_BYTES = 65_535
 _LENGTH = struct.Struct("!I")
 READ_EVENT = 1
@@ -66,6 +78,8 @@
         Where balancers may answer; may be stale.
     is_reading : callable
         Returns whether this balancer reads the store.
+    random : Random
+        Source of jitter.
     clock : callable
         Returns the time.
     on_relayed : callable
@@ -82,6 +96,7 @@
         peer_port: int,
         seeds: tuple[Address, ...],
         is_reading: Callable[[], bool],
+        random: Random,
         clock: Callable[[], Millis],
         on_relayed: Callable[[bytes], None],
         on_event: EventSink,
@@ -91,11 +106,13 @@
         self._peer_port = peer_port
         self._seeds = seeds
         self._is_reading = is_reading
+        self._random = random
         self._clock = clock
         self._on_relayed = on_relayed
         self._on_event = on_event
         self._relay_limit = RateLimit(RELAYS_PER_SECOND)
         self._pulling_from: set[Address] = set()
+        self._n_copies = 0
         self._socket = sockets.socket(sockets.AF_INET, sockets.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind((own.host, peer_port))
@@ -127,13 +144,17 @@
 
     def run_seeds(self) -> None:
         """Ask all seeds at once, again and again until ready, then once more."""
+        asked = list(self._seeds)
         while True:
             was_ready = self._steering.is_ready
-            tasks = [gevent.spawn(self._pull, seed) for seed in self._seeds]
-            gevent.joinall(tasks, timeout=PULL_SECONDS)
+            tasks = [gevent.spawn(self._pull, address) for address in asked]
+            gevent.joinall(tasks, timeout=PULL_SECONDS, count=len(tasks))
             if was_ready:
                 return
-            gevent.sleep(PULL_PAUSE_SECONDS)
+            gevent.sleep(PULL_PAUSE_SECONDS * self._random.uniform(0.5, 1.0))
+            members = self._steering.members.draw_ready(self._clock(), N_ASKED_AT_START)
+            asked = [(entry.host, self._peer_port) for entry in members]
+            asked = asked or list(self._seeds)
 
     def relay(self, data: bytes) -> str | None:
         """Hand a caller's packet to a balancer that may know its flow.
@@ -226,6 +247,14 @@
         heartbeat, difference = answer
         self._steering.take_from_peer(heartbeat, difference, self._clock())
 
+    def _answer(self, after: int) -> bytes:
+        """Return what changed, or only members to ask while copies are handed out."""
+        difference = self._steering.replica.since(after)
+        if difference.is_whole and self._n_copies >= MAX_COPIES_AT_ONCE:
+            heartbeat = self.heartbeat(n_known=N_KNOWN_WHEN_BUSY)
+            return encode_difference(heartbeat, Difference(0, [], False))
+        return encode_difference(self.heartbeat(), difference)
+
     def _ask(self, address: Address) -> tuple[Heartbeat, Difference] | Refused:
         connection = socket.create_connection(address)
         try:
@@ -235,17 +264,18 @@
             connection.close()
 
     def _serve(self, connection: socket.socket, _: Address) -> None:
+        self._n_copies += 1
         try:
             connection.settimeout(PULL_SECONDS)
             after = decode_request(_receive_frame(connection))
             if isinstance(after, Refused):
                 self._on_event("peer_request_refused", reason=after.detail)
                 return
-            difference = self._steering.replica.since(after)
-            _send_frame(connection, encode_difference(self.heartbeat(), difference))
+            _send_frame(connection, self._answer(after))
         except OSError as error:
             self._on_event("peer_request_failed", error=repr(error))
         finally:
+            self._n_copies -= 1
             connection.close()
 
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -39,6 +39,10 @@
 TURN_AWAY_MILLIS = 1_300
 """Routers take two missed checks, half a second apart, to turn away."""
 
+MAX_TURN_MILLIS = 2_000
+"""Longest wait of a stopping balancer for its turn: routers must have turned away 4 s
+after the signal, and take up to 1.5 s."""
+
 STOP_CHECK_SECONDS = 0.05
 METRICS_PATH = "/metrics"
 
@@ -137,6 +141,7 @@
             peer_port=settings.peer_port,
             seeds=settings.seeds,
             is_reading=lambda: self._reader.is_answered,
+            random=self._random,
             clock=boot_millis,
             on_relayed=self._datagrams.take_relayed,
             on_event=self._log,
@@ -190,7 +195,7 @@
         started = boot_millis()
         last = started + self._settings.grace_ms - STOP_MARGIN_MILLIS
         self._log("stopping", n_flows=self._steering.n_flows)
-        self._wait_turn(last - TURN_AWAY_MILLIS)
+        self._wait_turn(min(started + MAX_TURN_MILLIS, last - TURN_AWAY_MILLIS))
         self._is_turning_away = True
         self._peers.is_leaving = True
         turned_at = boot_millis()
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -240,6 +240,17 @@
         )
         return best.entry
 
+    def draw_ready(self, now: Millis, n_members: int) -> list[MemberEntry]:
+        """Return some members that may hand out a copy, of the own data centre first.
+
+        Members that are heard and ready are drawn; without any, those known at all.
+        """
+        rows = [row for row in self.live(now) if row.is_ready]
+        rows = rows or [row for row in self._rows.values() if row.heard_at is None]
+        own = self._own.data_centre
+        near = [row.entry for row in rows if row.entry.data_centre == own]
+        return self._draw(near or [row.entry for row in rows], n_members)
+
     def draw_told(self, now: Millis, *, with_far: bool) -> list[MemberEntry]:
         """Return whom to send the next heartbeat."""
         near: list[MemberEntry] = []
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -242,7 +242,8 @@
         self._take_opinions(heartbeat, now)
         if heartbeat.return_age is not None:
             self.store_health.note_peer_return(heartbeat.return_age, now)
-        if heartbeat.revision == self.replica.revision:
+        # A copy that has nothing yet is never confirmed, not even by another such one.
+        if 0 < heartbeat.revision == self.replica.revision:
             self.confirm(now - heartbeat.confirmed_age)
         return is_news
 
@@ -251,7 +252,8 @@
     ) -> None:
         """Take what a peer knows and this balancer does not."""
         self.take_heartbeat(heartbeat, now)
-        if difference.revision >= self.replica.revision:
+        is_copy = difference.revision > 0
+        if is_copy and difference.revision >= self.replica.revision:
             self.take(difference, now)
             self.confirm(now - heartbeat.confirmed_age)
 
--- a/tests/core/steering/test_members.py
+++ b/tests/core/steering/test_members.py
@@ -72,6 +72,15 @@
         later = START + FORGET_MILLIS + 1
         self.assertEqual(self.table.draw_told(later, with_far=True), [])
 
+    def test_copies_are_asked_of_ready_members_or_of_those_only_known(self):
+        known = member_entry("edge-1")
+        self.table.learn(known, START)
+        self.assertEqual(self.table.draw_ready(START, 3), [known])
+        self.table.hear(heartbeat("edge-2"), START)
+        self.table.hear(heartbeat("edge-3", is_ready=False), START)
+        drawn = self.table.draw_ready(START, 3)
+        self.assertEqual([entry.name for entry in drawn], ["edge-2"])
+
     def test_itself_is_no_other_member(self):
         self.assertFalse(self.table.hear(heartbeat("edge-5"), START))
         self.assertEqual(list(self.table.rows), [])
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -12,6 +12,7 @@
     configuration,
     following,
     heartbeat,
+    member_entry,
     opening,
     server_entry,
 )
@@ -265,6 +266,15 @@
         self.assertEqual(balancer.steering.configuration.version, 1)
         self.assertEqual(len(balancer.steering.servers), 2)
 
+    def test_busy_peer_that_names_others_confirms_nothing(self):
+        balancer = Balancer()
+        peer = heartbeat(known=(member_entry("edge-7"),))
+        nothing = Difference(0, [], False)
+        balancer.steering.take_from_peer(peer, nothing, balancer.now)
+        self.assertGreater(balancer.steering.confirmed_age(balancer.now), 10_000)
+        ready = balancer.steering.members.draw_ready(balancer.now, 3)
+        self.assertEqual([entry.name for entry in ready], ["edge-2"])
+
     def test_server_that_vanishes_while_the_store_is_unwell_is_kept_for_a_while(self):
         balancer = started("i-01")
         balancer.steering.store_health.note_failure()
