--- a/deploy/soak/hosts.py
+++ b/deploy/soak/hosts.py
@@ -83,10 +83,11 @@
 
     def stop(self, *, is_registered_on: bool = False) -> None:
         """End without a word to callers; a crash leaves the record to its lease."""
+        if self._world.hosts.pop(self.name, None) is None:
+            return  # ended already, by the end of the run
         gevent.killall(self._tasks)
         if self._socket is not None:
             self._socket.close()
-        del self._world.hosts[self.name]
         if not is_registered_on:
             self._world.store.delete(f"servers/{self.name}")
 
