--- a/deploy/tests/test_header.py
+++ b/deploy/tests/test_header.py
@@ -8,7 +8,7 @@
 
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
-from stoattray_core.steering.steering import Packet
+from stoattray_core.steering.packet import Packet
 from stoattray_platform.header import HEAD_BYTES, MAX_DATA_BYTES, PlatformHeader
 
 LABEL = b"\x00\x00\x00\x00\x7f\x3a\x91\xc2"
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/datagrams.py
@@ -10,8 +10,10 @@
 from stoattray_core._errors import ANSWERS, ErrorKind, PacketAnswer
 from stoattray_core._identifiers import Address, Millis
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.interfaces import EventSink
+from stoattray_core.steering.packet import Packet, flow_name
 from stoattray_core.steering.servers import ServerRow
-from stoattray_core.steering.steering import EventSink, Packet, Steering, flow_name
+from stoattray_core.steering.steering import Steering
 
 RECEIVE_BYTES = 2_048
 """Packets are at most 1,232 bytes; a longer one is cut, and refused by its length."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -22,9 +22,10 @@
 from stoattray_core._identifiers import Address, Millis
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.interfaces import EventSink
 from stoattray_core.steering.members import Heartbeat
 from stoattray_core.steering.replica import Difference
-from stoattray_core.steering.steering import EventSink, Steering
+from stoattray_core.steering.steering import Steering
 
 HEARTBEAT_SECONDS = 0.2
 """Five fit into the time after which a member is no longer live."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -28,7 +28,8 @@
 from stoattray_core._errors import StoattrayError
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import MemberEntry
-from stoattray_core.steering.steering import Decoder, Steering
+from stoattray_core.steering.interfaces import Decoder
+from stoattray_core.steering.steering import Steering
 
 STOP_MARGIN_MILLIS = 1_000
 """The process is out so long before the platform would end it."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -37,6 +37,9 @@
     yield from steering.follow_ups.lines("stoattray_follow_up_ms")
     yield from reader.calls.lines("stoattray_store_calls")
     yield from gauge_line("stoattray_open_flows", steering.n_flows)
+    yield from gauge_line(
+        "stoattray_malformed_records_total", steering.beliefs.n_malformed
+    )
     yield from gauge_line("stoattray_backend_servers", len(steering.servers))
     suspects = sum(steering.is_suspect(row, now) for row in steering.servers)
     yield from gauge_line("stoattray_suspect_backend_servers", suspects)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -11,8 +11,9 @@
 from stoattray_core._errors import ErrorKind
 from stoattray_core._identifiers import Millis
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.interfaces import EventSink
 from stoattray_core.steering.replica import Difference
-from stoattray_core.steering.steering import EventSink, Steering
+from stoattray_core.steering.steering import Steering
 from stoattray_core.steering.store_health import StoreState
 
 WAIT_MILLIS = 1_000
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/packet.py
@@ -0,0 +1,43 @@
+"""One packet of a caller, as the decisions need it."""
+
+from typing import NamedTuple
+
+
+class Packet(NamedTuple):
+    """One packet of a caller.
+
+    Parameters
+    ----------
+    key : bytes
+        Caller's and service's address and port.
+    destination : bytes
+        Service's address (4 bytes) and port (2 bytes).
+    cookie : int
+        Names the flow's server; 0 in opening packets.
+    is_opening, is_ending : bool
+        Whether the caller opens the flow, or ends its side of it.
+    n_copy : int
+        How often this opening packet was sent before.
+    has_data : bool
+        Whether it carries data.
+    data : bytes
+        The packet as it came.
+    """
+
+    key: bytes
+    destination: bytes
+    cookie: int
+    is_opening: bool
+    is_ending: bool
+    n_copy: int
+    has_data: bool
+    data: bytes
+
+
+def flow_name(key: bytes) -> str:
+    """Return a flow's id for people: caller, then service, as address and port."""
+    caller = ".".join(str(part) for part in key[:4])
+    service = ".".join(str(part) for part in key[4:8])
+    caller_port = int.from_bytes(key[10:12])
+    service_port = int.from_bytes(key[8:10])
+    return f"{caller}:{caller_port}>{service}:{service_port}"
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -13,43 +13,30 @@
 from collections import Counter
 from collections.abc import Iterator
 from random import Random
-from typing import NamedTuple, Protocol
 
 from stoattray_core._errors import ErrorKind
 from stoattray_core._identifiers import Millis
 from stoattray_core._sentinel import Refused
-from stoattray_core.steering.entries import (
-    BackendServerEntry,
-    Configuration,
-    Entry,
-    MemberEntry,
-    Route,
-)
+from stoattray_core.steering.admission import is_overloaded
+from stoattray_core.steering.beliefs import Beliefs
+from stoattray_core.steering.entries import Configuration, MemberEntry
 from stoattray_core.steering.failures import Failures
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.histogram import Histogram
+from stoattray_core.steering.interfaces import Decoder, EventSink
 from stoattray_core.steering.members import Heartbeat, MemberTable
 from stoattray_core.steering.pace import Pace
-from stoattray_core.steering.replica import Difference, Record, Replica
+from stoattray_core.steering.packet import Packet, flow_name
+from stoattray_core.steering.peer_reports import PeerReports
+from stoattray_core.steering.replica import Difference, Replica
 from stoattray_core.steering.selection import Selection, pick_service
-from stoattray_core.steering.servers import (
-    FIRST_RETURN_MILLIS,
-    Presence,
-    ServerRow,
-    ServerTable,
-)
+from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.store_health import StoreHealth
 from stoattray_core.steering.suspicion import Suspicion
 
 FROZEN_MILLIS = 200
 """A longer pause between two ticks says nothing about servers; ticks come each 5 ms."""
 
-AIM_SHARE = 1.2
-URGENT_AIM_SHARE = 1.8
-"""Waiting and work in multiples of a route's aim from which on openings are refused;
-what others told of their flows is old and makes them look 0.2 more. Routes that others
-are put behind are refused later. Trials: docs/design/0004."""
-
 MAX_TRIED = 3
 """Servers that one opening packet is sent to; with a quarter of them dead, fewer than
 one in fifty flows meets three, and callers send copies themselves."""
@@ -78,60 +65,6 @@
 OUTDATED = Refused(ErrorKind.HELD_TOO_LONG)
 
 
-class Packet(NamedTuple):
-    """One packet of a caller.
-
-    Parameters
-    ----------
-    key : bytes
-        Caller's and service's address and port.
-    destination : bytes
-        Service's address (4 bytes) and port (2 bytes).
-    cookie : int
-        Names the flow's server; 0 in opening packets.
-    is_opening, is_ending : bool
-        Whether the caller opens the flow, or ends its side of it.
-    n_copy : int
-        How often this opening packet was sent before.
-    has_data : bool
-        Whether it carries data.
-    data : bytes
-        The packet as it came.
-    """
-
-    key: bytes
-    destination: bytes
-    cookie: int
-    is_opening: bool
-    is_ending: bool
-    n_copy: int
-    has_data: bool
-    data: bytes
-
-
-class Decoder(Protocol):
-    """Reads records of the platform's store."""
-
-    def decode(self, record: Record) -> Entry | Refused | None:
-        """Return what a record declares; None if it is none of ours."""
-
-    def backend_server_name(self, key: str) -> str | None:
-        """Return the server whose record stands under `key`, or None."""
-
-
-class EventSink(Protocol):
-    """Takes what an operator may want to read."""
-
-    def __call__(self, name: str, **fields: str | int | float | bool | None) -> None:
-        """Write one event, or count it where its kind has used up its budget."""
-
-    def wants(self, name: str) -> bool:
-        """Return whether an event of this kind would be written now."""
-
-    def left_out(self, name: str) -> None:
-        """Count an event that was not even put together."""
-
-
 class Steering:
     """Tables of one balancer and the systems that run over them.
 
@@ -160,30 +93,37 @@
     ) -> None:
         self.members = MemberTable(own, random)
         self.servers = ServerTable(flow_life, own.data_centre)
-        self.store_health = StoreHealth(FIRST_RETURN_MILLIS)
-        self.replica = Replica()
+        self.beliefs = Beliefs(
+            self.servers, self.members, decoder=decoder, on_event=on_event
+        )
         self.counters: Counter[str] = Counter()
         self.follow_ups = Histogram()
-        self._decoder = decoder
         self._random = random
         self._on_event = on_event
-        self._configuration: Configuration | None = None
         self._suspicion = Suspicion(own.data_centre)
         self._selection = Selection(own.data_centre, self._suspicion, random)
+        self._flows = FlowTable()
         self._pace = Pace()
         self._failures = Failures()
-        self._opinions: dict[int, set[str]] = {}
-        self._flows = FlowTable()
-        self._confirmed_at: Millis | None = None
+        self._reports = PeerReports(self.servers, self._failures)
         self._ticked_at: Millis | None = None
         self._judge_from: Millis = 0
         self._outdated_until: Millis = 0
-        self._peer_loads: dict[str, list[tuple[ServerRow, int]]] = {}
 
     @property
     def configuration(self) -> Configuration | None:
         """Return the configuration in force, or None before the first."""
-        return self._configuration
+        return self.beliefs.configuration
+
+    @property
+    def replica(self) -> Replica:
+        """Return the copy of the store."""
+        return self.beliefs.replica
+
+    @property
+    def store_health(self) -> StoreHealth:
+        """Return what is believed of the store."""
+        return self.beliefs.store_health
 
     @property
     def n_flows(self) -> int:
@@ -203,7 +143,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether packets can be forwarded."""
-        return self._configuration is not None and len(self.servers) > 0
+        return self.configuration is not None and len(self.servers) > 0
 
     def is_suspect(self, server: ServerRow, now: Millis) -> bool:
         """Return whether a backend server waits its turn for silence."""
@@ -211,12 +151,11 @@
 
     def confirmed_age(self, now: Millis) -> Millis:
         """Return how long ago the copy of the store was known to be complete."""
-        return now if self._confirmed_at is None else now - self._confirmed_at
+        return self.beliefs.confirmed_age(now)
 
     def confirm(self, at: Millis) -> None:
         """Note that the copy was complete at a time."""
-        if self._confirmed_at is None or at > self._confirmed_at:
-            self._confirmed_at = at
+        self.beliefs.confirm(at)
 
     def failing(self, now: Millis) -> tuple[int, ...]:
         """Return cookies of servers that this balancer itself found to fail."""
@@ -232,14 +171,12 @@
 
     def take(self, difference: Difference, now: Millis) -> None:
         """Take changes from the store or a peer."""
-        for record in self.replica.merge(difference):
-            self._apply(record, now)
+        self.beliefs.take(difference, now)
 
     def take_heartbeat(self, heartbeat: Heartbeat, now: Millis) -> bool:
         """Take what a peer tells; return whether it was not heard before."""
         is_news = self.members.hear(heartbeat, now)
-        self._count_peer_load(heartbeat)
-        self._take_opinions(heartbeat, now)
+        self._reports.take(heartbeat, now)
         if heartbeat.return_age is not None:
             self.store_health.note_peer_return(heartbeat.return_age, now)
         # A copy that has nothing yet is never confirmed, not even by another such one.
@@ -303,38 +240,15 @@
 
     def clean_up(self, now: Millis) -> None:
         """Forget what is over; run about once a second."""
-        if self.store_health.is_settled(now):
-            for name in self.servers.end_lapses(now):
-                self._on_event("backend_server_gone", server=name, reason="lapsed")
+        self.beliefs.end_lapses(now)
         self.servers.expire(now)
         for server in self.servers:
             self._pace.forget(server, now)
-        self._forget_silent_loads(now)
+        self._reports.keep_only(row.entry.name for row in self.members.live(now))
         self._failures.forget(now)
-        idle = self._configuration.idle_limit if self._configuration else 0
+        idle = self.configuration.idle_limit if self.configuration else 0
         self._flows.expire(now, idle=idle, unanswered=UNANSWERED_MILLIS)
 
-    def _count_peer_load(self, heartbeat: Heartbeat) -> None:
-        """Replace what a peer told before of its open flows."""
-        name = heartbeat.member.name
-        for server, n_flows in self._peer_loads.pop(name, ()):
-            server.peer_load -= n_flows
-        told = []
-        for cookie, n_flows in heartbeat.n_asked.items():
-            server = self.servers.by_cookie(cookie)
-            if server is not None:
-                server.peer_load += n_flows
-                told.append((server, n_flows))
-        self._peer_loads[name] = told
-
-    def _forget_silent_loads(self, now: Millis) -> None:
-        live = {row.entry.name for row in self.members.live(now)}
-        for name in [name for name in self._peer_loads if name not in live]:
-            for server, n_flows in self._peer_loads.pop(name):
-                server.peer_load -= n_flows
-            for peers in self._opinions.values():
-                peers.discard(name)
-
     def _route_opening(
         self, packet: Packet, flow: FlowRow | None, now: Millis
     ) -> ServerRow | Refused:
@@ -358,8 +272,8 @@
     def _choose(
         self, destination: bytes, now: Millis, avoid: list[ServerRow]
     ) -> ServerRow | Refused:
-        assert self._configuration is not None
-        route = self._configuration.routes.get(destination)
+        assert self.configuration is not None
+        route = self.configuration.routes.get(destination)
         if route is None:
             is_fresh = self.confirmed_age(now) <= FRESH_MILLIS
             return NO_ROUTE if is_fresh else STALE_ROUTES
@@ -368,25 +282,15 @@
         server = self._selection.choose(rows, now, avoid=avoid)
         if server is None:
             return NO_BACKEND_SERVER
-        if self._is_overloaded(server, route, now):
+        if is_overloaded(server, route, self._usual_work(service), now):
             self.counters["openings_overloaded"] += 1
             return OVERLOADED
         return server
 
-    def _is_overloaded(self, server: ServerRow, route: Route, now: Millis) -> bool:
-        """Return whether even the best server would work on a flow too late.
-
-        Late work makes all that comes after it late too, so that it is refused at once
-        while its caller can still go elsewhere.
-        """
-        usual = self._pace.usual(server.entry.service)
-        if usual is None or route.aim is None:
-            return False
-        work = max(1.0, usual - self._suspicion.usual_answer)
-        n_requests = server.n_asked + server.peer_load + 1
-        expected = n_requests * work * server.slowness / server.capacity(now)
-        share = URGENT_AIM_SHARE if route.is_urgent else AIM_SHARE
-        return expected > share * route.aim
+    def _usual_work(self, service: str) -> float | None:
+        """Return the usual time of a service's requests at a server, if known."""
+        usual = self._pace.usual(service)
+        return None if usual is None else usual - self._suspicion.usual_answer
 
     def _open(self, packet: Packet, server: ServerRow, now: Millis) -> None:
         self.counters["flows_opened"] += 1
@@ -406,7 +310,7 @@
         if not self._on_event.wants("flow_opened"):
             self._on_event.left_out("flow_opened")
             return
-        assert self._configuration is not None
+        assert self.configuration is not None
         self._on_event(
             "flow_opened",
             flow=flow_name(packet.key),
@@ -418,7 +322,7 @@
             is_suspect=self.is_suspect(server, now),
             presence=server.presence.value,
             heard_age_ms=now - server.heard_at,
-            version=self._configuration.version,
+            version=self.configuration.version,
             revision=self.replica.revision,
             confirmed_age_ms=self.confirmed_age(now),
         )
@@ -466,22 +370,6 @@
                 waited_ms=waited,
             )
 
-    def _take_opinions(self, heartbeat: Heartbeat, now: Millis) -> None:
-        """Take which servers a peer takes to fail."""
-        name = heartbeat.member.name
-        for peers in self._opinions.values():
-            peers.discard(name)
-        for cookie in heartbeat.failing:
-            self._opinions.setdefault(cookie, set()).add(name)
-            server = self.servers.by_cookie(cookie)
-            if server is None:
-                continue
-            n_servers = self.servers.n_of_service(server.entry.service)
-            n_peers = len(self._opinions[cookie])
-            self._failures.note_opinions(server, n_peers, now, n_servers=n_servers)
-        for cookie in [c for c, peers in self._opinions.items() if not peers]:
-            del self._opinions[cookie]
-
     def _judge_silent(
         self, flow: FlowRow, now: Millis
     ) -> tuple[ServerRow, bytes] | None:
@@ -515,80 +403,3 @@
         flow.judge_at = now + self.patience
         self._flows.wait(flow)
         return server, flow.opening
-
-    def _apply(self, record: Record, now: Millis) -> None:
-        if record.value is None:
-            self._remove(record, now)
-            return
-        entry = self._decoder.decode(record)
-        if isinstance(entry, Configuration):
-            self._install(entry, record, now)
-        elif isinstance(entry, BackendServerEntry):
-            self._put_server(entry, record, now)
-        elif isinstance(entry, MemberEntry):
-            self.members.learn(entry, now)
-        elif isinstance(entry, Refused):
-            self.counters["records_malformed"] += 1
-            self._on_event(
-                "record_malformed",
-                key=record.key,
-                revision=record.revision,
-                reason=entry.detail,
-            )
-            self._remove(record, now)
-
-    def _install(self, entry: Configuration, record: Record, now: Millis) -> None:
-        held = self._configuration
-        if held is not None and entry.version <= held.version:
-            self._on_event(
-                "configuration_refused", version=entry.version, held=held.version
-            )
-            return
-        self._configuration = entry
-        self._on_event(
-            "configuration_in_force",
-            version=entry.version,
-            revision=record.revision,
-            n_routes=len(entry.routes),
-        )
-
-    def _put_server(
-        self, entry: BackendServerEntry, record: Record, now: Millis
-    ) -> None:
-        before = self.servers.get(entry.name)
-        was_draining = before is not None and before.entry.is_draining
-        self.servers.put(entry, now)
-        if before is None or entry.is_draining != was_draining:
-            self._on_event(
-                "backend_server",
-                server=entry.name,
-                service=entry.service,
-                state="draining" if entry.is_draining else "ready",
-                revision=record.revision,
-                warmup_ms=entry.warmup,
-            )
-
-    def _remove(self, record: Record, now: Millis) -> None:
-        name = self._decoder.backend_server_name(record.key)
-        if name is None:
-            return
-        presence = self.servers.vanish(
-            name, now, may_be_lapsed=not self.store_health.is_settled(now)
-        )
-        if presence is not None:
-            reason = "lapsed" if presence is Presence.LAPSED else "removed"
-            self._on_event(
-                "backend_server_gone",
-                server=name,
-                reason=reason,
-                revision=record.revision,
-            )
-
-
-def flow_name(key: bytes) -> str:
-    """Return a flow's id for people: caller, then service, as address and port."""
-    caller = ".".join(str(part) for part in key[:4])
-    service = ".".join(str(part) for part in key[4:8])
-    caller_port = int.from_bytes(key[10:12])
-    service_port = int.from_bytes(key[8:10])
-    return f"{caller}:{caller_port}>{service}:{service_port}"
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -293,7 +293,7 @@
         balancer.declare(malformed, key="servers/i-03")
         balancer.declare(malformed, key="servers/i-02")
         self.assertEqual([row.name for row in balancer.steering.servers], ["i-01"])
-        self.assertEqual(balancer.steering.counters["records_malformed"], 2)
+        self.assertEqual(balancer.steering.beliefs.n_malformed, 2)
 
     def test_peers_open_flows_count_until_the_peer_falls_silent(self):
         balancer = started("i-01")
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -13,9 +13,10 @@
     Route,
 )
 from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.replica import Difference, Record
 from stoattray_core.steering.servers import ServerRow
-from stoattray_core.steering.steering import Packet, Steering
+from stoattray_core.steering.steering import Steering
 
 LOOKUP_DESTINATION = b"\xc6\x12\x00\x01\x20\xfb"
 UNKNOWN_DESTINATION = b"\xc6\x12\x00\x09\x20\xfb"
