--- a/deploy/soak/hosts.py
+++ b/deploy/soak/hosts.py
@@ -15,6 +15,9 @@
 from promises import Promises
 from store import StandinStore, document
 
+SERVICES = {"lookup": 5, "archive": 3}
+"""Services and their hosts at the start of a run."""
+
 HEARTBEAT_SECONDS = 0.4
 DRAIN_BOUND_SECONDS = 3.0
 ANSWER_BYTES = 1_000
