--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -149,7 +149,7 @@
         while True:
             was_ready = self._steering.is_ready
             tasks = [gevent.spawn(self._pull, address) for address in asked]
-            gevent.joinall(tasks, timeout=PULL_SECONDS, count=len(tasks))
+            gevent.joinall(tasks, timeout=PULL_SECONDS)
             if was_ready:
                 return
             gevent.sleep(PULL_PAUSE_SECONDS * self._random.uniform(0.5, 1.0))
