proofs: starts, pauses and cookies as a specification of their own

Cause: the recovery and cookie rules of cookie placement were checked by tests and runs only; no model said which rule each promise rests on. Change: proofs/recovery.py, two balancers that are killed, started empty, cut off or paused while a route is accepted and an address goes to another service. Conclusion: each of the five rules is needed.

--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from proofs import bucket_moves, configuration
+from proofs import bucket_moves, configuration, recovery
 from proofs.checker import check
 
 
@@ -49,3 +49,25 @@
                 model = configuration.Distribution(defect)
                 result = check(model, configuration.FORMULAS)
                 self.assertIn(formula, result.failed)
+
+
+class RecoveryTest(unittest.TestCase):
+    """Starts, pauses and cookies with cookie placement."""
+
+    def test_holds(self):
+        result = check(recovery.Recovery(), recovery.FORMULAS)
+        self.assertEqual(result.failed, ())
+        self.assertGreater(result.n_states, 1_500)
+
+    def test_defects_are_caught(self):
+        expected = {
+            recovery.Defect.RESETS_UNREADY: "A(G(not false_reset))",
+            recovery.Defect.TRUSTS_AFTER_PAUSE: "A(G(not false_reset))",
+            recovery.Defect.COOKIE_BY_POSITION: "A(G(not moved))",
+            recovery.Defect.SERVER_NOT_NAMED: "A(G(not misdelivered))",
+            recovery.Defect.TAKES_ANY_REVISION: "A(G(not reverted))",
+        }
+        for defect, formula in expected.items():
+            with self.subTest(defect):
+                result = check(recovery.Recovery(defect), recovery.FORMULAS)
+                self.assertIn(formula, result.failed)
