stoattrayctl report: what the log lines of a run add up to; tests of explain

Cause: on-call engineers had one flow's story (explain) and no view of a whole run, and explain itself had no test.

--- a/packages/stoattray-operator/src/stoattray_operator/main.py
+++ b/packages/stoattray-operator/src/stoattray_operator/main.py
@@ -6,7 +6,7 @@
 import os
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +15,7 @@
 from stoattray_operator._documents import read_services
 from stoattray_operator._explain import explain
 from stoattray_operator._log_lines import LogLine, read_log_lines
+from stoattray_operator._report import format_report, make_report, plot_report
 from stoattray_operator._tables import format_table
 from stoattray_operator.client import Access, Client
 
@@ -72,6 +73,7 @@
     _add_wait(commands)
     _add_status(commands)
     _add_explain(commands)
+    _add_report(commands)
     return parser
 
 
@@ -98,13 +100,7 @@
 
 
 def _explain(_: Client, arguments: argparse.Namespace) -> int:
-    lines: list[LogLine] = []
-    if not arguments.files:
-        lines.extend(read_log_lines(sys.stdin, "stdin"))
-    for name in arguments.files:
-        path = Path(name)
-        with path.open(errors="replace") as file:
-            lines.extend(read_log_lines(file, path.stem))
+    lines = list(_read_logs(arguments.files))
     found = list(explain(lines, arguments.id))
     if not found:
         raise StoattrayError(
@@ -114,6 +110,38 @@
     return 0
 
 
+def _add_report(commands: Any) -> None:
+    report = commands.add_parser(
+        "report", help="add up log lines: openings, refusals, backend servers"
+    )
+    report.add_argument("files", nargs="*", help="log files; default: stdin")
+    report.add_argument(
+        "--plot", type=Path, metavar="IMAGE", help="draw events a second; needs [plot]"
+    )
+    report.set_defaults(run=_report)
+
+
+def _report(_: Client, arguments: argparse.Namespace) -> int:
+    report = make_report(_read_logs(arguments.files))
+    if not report.events:
+        raise StoattrayError(ErrorKind.NOT_FOUND, "no log lines of balancers")
+    for text in format_report(report):
+        print(text)
+    if arguments.plot is not None:
+        plot_report(report, arguments.plot)
+    return 0
+
+
+def _read_logs(names: Sequence[str]) -> Iterator[LogLine]:
+    """Yield the events in files, or in standard input where none is named."""
+    if not names:
+        yield from read_log_lines(sys.stdin, "stdin")
+    for name in names:
+        path = Path(name)
+        with path.open(errors="replace") as file:
+            yield from read_log_lines(file, path.stem)
+
+
 def _add_get(commands: Any) -> None:
     get = commands.add_parser("get", help="list organisations or services")
     get.add_argument(
--- /dev/null
+++ b/tests/operator/test_logs.py
@@ -0,0 +1,100 @@
+"""Explaining a flow and adding up a run, from lines of a real run.
+
+The lines are of two balancers of a data centre that was cut off from the store and from
+other data centres while its callers asked for a route that neither had heard of.
+"""
+
+import contextlib
+import io
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from stoattray_operator._log_lines import read_log_lines
+from stoattray_operator._report import make_report
+from stoattray_operator.main import main
+
+LOG = Path(__file__).parent / "logs/store-away.log"
+REFUSED_FLOW = "100.64.0.4:1169"
+OPENED_FLOW = "100.64.0.12:1127>198.18.0.1:8443"
+
+
+class LogCommandTest(unittest.TestCase):
+    """`explain` and `report`."""
+
+    def run_command(self, *arguments):
+        output, errors = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+            status = main([*arguments])
+        return status, output.getvalue(), errors.getvalue()
+
+    def test_explain_follows_a_flow_across_balancers_in_order_of_time(self):
+        status, output, _ = self.run_command("explain", REFUSED_FLOW, str(LOG))
+        self.assertEqual(status, 0)
+        lines = output.splitlines()
+        self.assertEqual(lines, sorted(lines, key=lambda line: line[2:26]))
+        own = [line for line in lines if line.startswith("*")]
+        self.assertEqual(len(own), 4)
+        self.assertIn("helper=edge-luzon-a-3", own[0])
+        self.assertIn("edge-luzon-a-3 packet_refused kind=unknown_address", own[1])
+        self.assertIn("kind=no_owner", own[2])
+        self.assertTrue(any("store_lost" in line for line in lines), output)
+
+    def test_explain_shows_what_was_believed_of_the_servers(self):
+        _, output, _ = self.run_command("explain", OPENED_FLOW, str(LOG))
+        silent = output.index("backend_server_silent server=i-f0ab7a6435")
+        tried = output.index("opening_tried_again")
+        self.assertLess(silent, tried)
+
+    def test_explain_of_an_unknown_flow_is_an_error(self):
+        status, output, errors = self.run_command("explain", "1.2.3.4:5", str(LOG))
+        self.assertNotEqual(status, 0)
+        self.assertEqual(output, "")
+        self.assertIn("no line names '1.2.3.4:5'", errors)
+
+    def test_explain_reads_standard_input(self):
+        with LOG.open() as log, mock.patch.object(sys, "stdin", log):
+            status, output, _ = self.run_command("explain", REFUSED_FLOW)
+        self.assertEqual(status, 0)
+        self.assertIn("helper=edge-luzon-a-3", output)
+
+    def test_report_adds_up_every_line(self):
+        text = LOG.read_text()
+        with LOG.open() as file:
+            report = make_report(read_log_lines(file, "x"))
+        self.assertEqual(report.events.total(), text.count("event="))
+        self.assertEqual(report.left_out, {"flow_opened": 68 + 74})
+        self.assertEqual(report.refusals["unknown_address", "handed over"], 1)
+        self.assertEqual(report.refusals["no_owner", "dropped"], 2)
+        server = report.by_server["i-f0ab7a6435"]
+        self.assertEqual(server["opening_tried_again"], text.count("silent=i-f0ab7a"))
+        seconds = report.by_second["flow_opened"]
+        self.assertEqual(seconds.total(), text.count("event=flow_opened"))
+
+    def test_report_is_printed(self):
+        status, output, _ = self.run_command("report", str(LOG))
+        self.assertEqual(status, 0)
+        self.assertIn("2 balancers", output)
+        for title in ("Events", "Refused packets", "Backend servers", "Balancers"):
+            self.assertIn(f"\n{title}", output)
+
+    def test_report_without_lines_is_an_error(self):
+        with mock.patch.object(sys, "stdin", io.StringIO("nothing here\n")):
+            status, _, errors = self.run_command("report")
+        self.assertNotEqual(status, 0)
+        self.assertIn("no log lines of balancers", errors)
+
+    def test_report_draws_an_image(self):
+        with tempfile.TemporaryDirectory() as folder:
+            image = Path(folder) / "run.png"
+            status, _, _ = self.run_command("report", str(LOG), "--plot", str(image))
+            self.assertEqual(status, 0)
+            self.assertTrue(image.read_bytes().startswith(b"\x89PNG"))
+
+    def test_report_without_the_optional_library_says_what_to_install(self):
+        with mock.patch.dict(sys.modules, {"matplotlib.figure": None}):
+            status, _, errors = self.run_command("report", str(LOG), "--plot", "x.png")
+        self.assertNotEqual(status, 0)
+        self.assertIn("stoattray-operator[plot]", errors)
