members: a restart with the time of day set back is heard again

Cause: incarnations come from the time of day. Change: a lower incarnation is ignored only while the newer process is heard; what a member says of itself goes before what others tell, and readiness counts anew after a restart.

--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -129,28 +129,38 @@
         return self._rows.values()
 
     def learn(self, entry: MemberEntry, now: Millis) -> None:
-        """Take that a member exists; an older incarnation changes nothing."""
+        """Take what others say of a member; what it says itself goes first.
+
+        Incarnations come from the time of day, which may be set back between two
+        starts, so the later one is only likely to be higher.
+        """
         if entry.name == self._own.name:
             return
         row = self._rows.get(entry.name)
         if row is None:
             self._rows[entry.name] = MemberRow(entry, now)
-        elif entry.incarnation > row.entry.incarnation:
+        elif entry.incarnation > row.entry.incarnation and not self._is_live(row, now):
             row.entry = entry
             row.learned_at = now
 
     def hear(self, heartbeat: Heartbeat, now: Millis) -> bool:
-        """Take a heartbeat; return whether its sender was not live before."""
+        """Take a heartbeat; return whether its sender was not live before.
+
+        One of an older process is only believed when the newer one is silent.
+        """
         entry = heartbeat.member
         if entry.name == self._own.name:
             return False
-        self.learn(entry, now)
-        row = self._rows[entry.name]
-        if entry.incarnation < row.entry.incarnation:
-            return False
+        row = self._rows.setdefault(entry.name, MemberRow(entry, now))
         was_live = self._is_live(row, now)
-        if heartbeat.is_ready and not (was_live and row.is_ready):
+        if was_live and entry.incarnation < row.entry.incarnation:
+            return False
+        is_same = was_live and entry.incarnation == row.entry.incarnation
+        if heartbeat.is_ready and not (is_same and row.is_ready):
             row.ready_since = now
+        if entry != row.entry:
+            row.entry = entry
+            row.learned_at = now
         row.heard_at = now
         row.is_ready = heartbeat.is_ready
         row.is_reader = heartbeat.is_reader
--- a/tests/core/steering/test_members.py
+++ b/tests/core/steering/test_members.py
@@ -57,6 +57,31 @@
         [row] = self.table.rows
         self.assertEqual(row.revision, 0)
 
+    def test_restart_with_a_clock_set_back_is_heard_once_the_old_process_is_silent(
+        self,
+    ):
+        self.table.hear(heartbeat(member=member_entry("edge-1", incarnation=9)), START)
+        later = START + HEARD_MILLIS + 1
+        self.assertTrue(self.table.hear(heartbeat("edge-1", revision=4), later))
+        [row] = self.table.rows
+        self.assertEqual((row.revision, row.entry.incarnation), (4, 1))
+
+    def test_what_a_member_says_of_itself_goes_before_what_others_say(self):
+        self.table.hear(heartbeat("edge-1"), START)
+        old = member_entry("edge-1", incarnation=9, host="10.1.0.99")
+        self.table.learn(old, START + 1)
+        [row] = self.table.rows
+        self.assertEqual(row.entry.host, "10.1.0.10")
+        self.assertFalse(self.table.hear(heartbeat("edge-1", revision=4), START + 2))
+        self.assertEqual(row.revision, 4)
+
+    def test_member_that_is_silent_is_learned_anew_from_others(self):
+        self.table.hear(heartbeat("edge-1"), START)
+        moved = member_entry("edge-1", incarnation=9, host="10.1.0.99")
+        self.table.learn(moved, START + HEARD_MILLIS + 1)
+        [row] = self.table.rows
+        self.assertEqual(row.entry.host, "10.1.0.99")
+
     def test_number_told_is_bounded(self):
         for number in range(200):
             self.table.learn(member_entry(f"near-{number}"), START)
