--- a/proofs/recovery.py
+++ b/proofs/recovery.py
@@ -14,7 +14,7 @@
 =  =====================================================================
 
 Two bounds of the platform enter as guards: revision 2 is in force, and the address of X
-may be used again, once every balancer knows of it that runs and whose copy is confirmed.
+may be used again, once each running balancer with a confirmed copy knows of it.
 """
 
 from collections.abc import Iterator
