settings: a changed file takes effect, and says what needs a restart; log level

Cause: a changed settings file was read and told, but only the grace period took effect. A stop before the first readiness still wrote 'ready'. What log lines cost was unknown. Change: seeds, the store's address and rate, the grace period and the new log_level are in force within a second; reloaded names what changed and what a running process keeps. A stop before readiness writes no 'ready'. The limit for leaving has a name.

--- a/deploy/tests/test_process.py
+++ b/deploy/tests/test_process.py
@@ -77,6 +77,33 @@
         self.assertEqual(process.wait(timeout=3), 0)
         self.assertIn("event=stopped", self.text())
 
+    def test_stop_before_the_first_readiness_never_says_ready(self):
+        process = self.start()
+        time.sleep(1.0)
+        process.send_signal(signal.SIGTERM)
+        process.wait(timeout=3)
+        self.assertNotIn("event=ready", self.text())
+
+    def test_moved_store_is_asked_and_a_moved_port_needs_a_restart(self):
+        process = self.start()
+        time.sleep(1.0)
+        with socket.create_server((HOST, 7_207)) as store:
+            store.settimeout(3.0)
+            moved = {**SETTINGS, "store": f"{HOST}:7207", "metrics_port": 7_208}
+            self.path.write_text(json.dumps(moved))
+            connection, _ = store.accept()
+            connection.close()
+        self.assertIn('changed="metrics,store" needs_restart=metrics', self.text())
+        self.assertIsNone(process.poll())
+
+    def test_log_level_of_errors_leaves_decisions_out(self):
+        self.path.write_text(json.dumps({**SETTINGS, "log_level": "error"}))
+        process = self.start()
+        time.sleep(1.0)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(timeout=3), 0)
+        self.assertEqual(self.text(), "")
+
     def test_bad_settings_end_it_with_a_reason(self):
         self.path.write_text(json.dumps({**SETTINGS, "peer_port": 0}))
         self.assertEqual(self.start().wait(timeout=5), 1)
@@ -88,6 +115,7 @@
         self.path.write_text(json.dumps({**SETTINGS, "grace_seconds": 4}))
         time.sleep(1.5)
         self.assertIn("event=reloaded", self.text())
+        self.assertIn("changed=grace_ms needs_restart=None", self.text())
         self.path.write_text("{")
         time.sleep(1.5)
         self.assertIn("event=reload_failed", self.text())
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
@@ -56,13 +56,15 @@
     def __call__(self, name: str, **fields: str | int | float | bool | None) -> None:
         """Write one event unless its kind has used up its budget."""
         if not self.wants(name):
-            self._left_out[name] += 1
+            self.left_out(name)
             return
         self._spent[name] += 1
         log_event(name, **fields)
 
     def wants(self, name: str) -> bool:
         """Return whether an event of this kind would be written now."""
+        if not LOGGER.isEnabledFor(logging.INFO):
+            return False
         second = self._clock() // 1_000
         if second != self._second:
             self._second = second
@@ -71,8 +73,9 @@
         return self._spent[name] < limit
 
     def left_out(self, name: str) -> None:
-        """Count an event that was not even put together."""
-        self._left_out[name] += 1
+        """Count an event that the budget leaves out, not one that nobody asked for."""
+        if LOGGER.isEnabledFor(logging.INFO):
+            self._left_out[name] += 1
 
     def set_up(self, level: str) -> None:
         """Let all of this process's events go this way."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -123,7 +123,7 @@
         self._steering = steering
         self._own = own
         self._peer_port = peer_port
-        self._seeds = seeds
+        self.seeds = seeds
         self._is_reading = is_reading
         self._random = random
         self._clock = clock
@@ -164,7 +164,7 @@
 
     def run_seeds(self) -> None:
         """Ask all seeds at once, again and again until ready, then once more."""
-        asked = list(self._seeds)
+        asked = list(self.seeds)
         while True:
             was_ready = self._steering.is_ready
             tasks = [gevent.spawn(self._pull, address) for address in asked]
@@ -176,7 +176,7 @@
             gevent.sleep(PULL_PAUSE_SECONDS * self._random.uniform(0.5, 1.0))
             members = self._steering.members.draw_ready(self._clock(), N_ASKED_AT_START)
             asked = [(entry.host, self._peer_port) for entry in members]
-            asked = asked or list(self._seeds)
+            asked = asked or list(self.seeds)
 
     def relay(self, data: bytes) -> str | None:
         """Hand a caller's packet to a balancer that may know its flow.
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -20,6 +20,7 @@
 from stoattray_balancer.steering.peers import Peers
 from stoattray_balancer.steering.process_metrics import metrics_text
 from stoattray_balancer.steering.settings import (
+    FIXED_AT_START,
     SteeringSettings,
     load_steering_settings,
 )
@@ -34,6 +35,9 @@
 STOP_MARGIN_MILLIS = 1_000
 """The process is out so long before the platform would end it."""
 
+LEAVE_SECONDS = 0.3
+"""Limit for taking the own record away at the end; without it the lease ends it."""
+
 QUIET_MILLIS = 1_000
 """Routers have turned away when no packet came for this time."""
 
@@ -95,6 +99,7 @@
         self._path = path
         self._log = EventLog(sys.stdout.fileno(), boot_millis)
         self._settings = load_steering_settings(path)
+        self._new_client = client
         self._readiness_path = readiness_path
         self._readiness_socket = socket.socket(fileno=readiness)
         self._ready = Event()
@@ -152,7 +157,7 @@
 
     def run(self) -> int:
         """Serve until told to stop; return the exit status."""
-        self._log.set_up("info")
+        self._log.set_up(self._settings.log_level)
         gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         with ExitStack() as stack:
@@ -172,6 +177,8 @@
         started = boot_millis()
         while not self._steering.is_ready and not self._is_stopping:
             gevent.sleep(READY_CHECK_SECONDS)
+        if self._is_stopping:
+            return
         self._datagrams.start()
         self._ready.set()
         self._log("ready", waited_ms=boot_millis() - started)
@@ -208,7 +215,7 @@
             if now >= earliest and is_quiet:
                 break
             gevent.sleep(STOP_CHECK_SECONDS)
-        with gevent.Timeout(0.3, False):
+        with gevent.Timeout(LEAVE_SECONDS, False):
             self._registration.end()
 
     def _wait_turn(self, last: Millis) -> None:
@@ -226,8 +233,29 @@
             self._log("reload_failed", kind=error.kind, reason=error.reason)
             return
         if settings != self._settings:
-            self._settings = settings
-            self._log("reloaded")
+            self._apply(settings)
+
+    def _apply(self, settings: SteeringSettings) -> None:
+        """Put changed settings in force, but for those that are fixed at the start."""
+        before, self._settings = self._settings, settings
+        self._peers.seeds = settings.seeds
+        self._log.set_up(settings.log_level)
+        if before.store != settings.store or (
+            before.store_reads_per_second != settings.store_reads_per_second
+        ):
+            self._reader.use(self._new_client(settings))
+            self._registration.use(self._new_client(settings))
+        changed = [
+            name
+            for name in SteeringSettings._fields
+            if getattr(settings, name) != getattr(before, name)
+        ]
+        fixed = [name for name in changed if name in FIXED_AT_START]
+        self._log(
+            "reloaded",
+            changed=",".join(changed),
+            needs_restart=",".join(fixed) or None,
+        )
 
     def _watch_settings(self) -> None:
         while True:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -6,6 +6,19 @@
 from stoattray_core._errors import ErrorKind, StoattrayError
 from stoattray_core._identifiers import Address
 
+LOG_LEVELS = ("info", "error")
+FIXED_AT_START = (
+    "member",
+    "data_centre",
+    "host",
+    "seed_server",
+    "metrics",
+    "peer_port",
+    "min_lease_ms",
+    "flow_life_ms",
+)
+"""Settings that a running process keeps; others take effect when they change."""
+
 _UNSET = object()
 
 
@@ -24,6 +37,7 @@
     min_lease_ms: int
     flow_life_ms: int
     grace_ms: int
+    log_level: str
 
 
 def load_steering_settings(path: str) -> SteeringSettings:
@@ -67,6 +81,7 @@
             min_lease_ms=int(self._number("min_lease_ms", 1, 600_000)),
             flow_life_ms=int(self._number("flow_life_seconds", 1, 86_400) * 1_000),
             grace_ms=int(self._number("grace_seconds", 1, 3_600) * 1_000),
+            log_level=self._choice("log_level", LOG_LEVELS),
         )
 
     def _get(self, name: str, default: Any = _UNSET) -> Any:
@@ -81,6 +96,13 @@
             raise _invalid(f"{name}: {value!r} is not text")
         return value
 
+    def _choice(self, name: str, values: tuple[str, ...]) -> str:
+        """Return one of some words; the first where nothing is set."""
+        value = self._text(name, values[0])
+        if value not in values:
+            raise _invalid(f"{name}: {value!r} is not one of {', '.join(values)}")
+        return value
+
     def _number(self, name: str, least: float, most: float) -> float:
         value = self._get(name)
         if isinstance(value, bool) or not isinstance(value, int | float):
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -94,6 +94,10 @@
         is_well = self._steering.store_health.state is not StoreState.UNWELL
         return is_well and self.is_reading
 
+    def use(self, client: StoreClient) -> None:
+        """Ask another address of the store from the next call on."""
+        self._client = client
+
     def run(self) -> None:
         """Read for ever."""
         while True:
@@ -177,6 +181,10 @@
         self._back_off = BackOff(FIRST_RETRY_SECONDS, KEEP_SECONDS, random)
         self._lease: int | None = None
 
+    def use(self, client: StoreClient) -> None:
+        """Ask another address of the store from the next call on."""
+        self._client = client
+
     def run(self) -> None:
         """Register and renew for ever."""
         while True:
--- a/tests/balancer/steering/test_settings.py
+++ b/tests/balancer/steering/test_settings.py
@@ -54,6 +54,7 @@
             {"seeds": [5]},
             {"member": 7},
             {"flow_life_seconds": 0},
+            {"log_level": "debug"},
         )
         for change in changes:
             with self.subTest(change), self.assertRaises(StoattrayError) as caught:
@@ -62,7 +63,7 @@
             self.assertIn(next(iter(change)), caught.exception.reason)
 
     def test_missing_values_and_files(self):
-        for name in set(GOOD) - {"seed_server"}:
+        for name in set(GOOD) - {"seed_server", "log_level"}:
             values = {key: value for key, value in GOOD.items() if key != name}
             with self.subTest(name), self.assertRaises(StoattrayError):
                 self.load(json.dumps(values))
