soak: links between balancers, cuts of a whole VM, one report file

Cause: heartbeats and copies went past the soak's proxies, so peers were harmed only by pauses and kills; a VM was never cut off as a whole; a replay needed a report by hand. Change: a balancer may advertise another host than it listens on (advertised_host, also for addresses that are translated).

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -1,7 +1,8 @@
 """Command line of the soak: ``python deploy/soak --seed 1 --seconds 30``.
 
 Prints one JSON report a seed. A seed that broke a promise keeps its logs, and the
-exit status is 1. ``--replay FILE`` plays the seed of a report again.
+exit status is 1. ``--replay FILE`` plays the broken seeds of a report file again, or
+all of them where none broke.
 """
 
 import argparse
@@ -26,22 +27,27 @@
     parser.add_argument("--minutes", type=float, help="fresh seeds for so long")
     parser.add_argument("--processes", type=int, default=4, help="balancers")
     parser.add_argument("--replay", type=Path, help="report whose seed is played")
+    parser.add_argument("--report", type=Path, help="also write all reports here")
     arguments = parser.parse_args()
-    n_broken = 0
+    reports = []
     for seed in _seeds(arguments):
         report, folder = play(seed, arguments.seconds, arguments.processes)
         if report["violations"]:
-            n_broken += 1
             report["logs"] = str(folder)
         else:
             shutil.rmtree(folder)
         print(json.dumps(report), flush=True)
-    return 1 if n_broken else 0
+        reports.append(report)
+        if arguments.report is not None:
+            arguments.report.write_text(json.dumps(reports, indent=1))
+    return 1 if any(report["violations"] for report in reports) else 0
 
 
 def _seeds(arguments: argparse.Namespace) -> Iterator[int]:
     if arguments.replay is not None:
-        yield json.loads(arguments.replay.read_text())["seed"]
+        reports = json.loads(arguments.replay.read_text())
+        broken = [report["seed"] for report in reports if report["violations"]]
+        yield from broken or [report["seed"] for report in reports]
         return
     ends = time.monotonic() + 60 * (arguments.minutes or 0)
     seed = arguments.seed
--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -49,6 +49,8 @@
     def _check(self, balancer: Balancer) -> None:
         is_ready = False
         try:
+            if balancer.is_cut_off:
+                raise TimeoutError
             with gevent.Timeout(PROBE_TIMEOUT_SECONDS, TimeoutError()):
                 connection = socket.create_connection(balancer.readiness)
                 try:
@@ -104,6 +106,8 @@
 
     def _send(self, key: bytes, packet: bytes) -> None:
         balancer = self._routers.balancer_for(key)
+        if balancer.is_cut_off:
+            return
         try:
             self._socket.sendto(packet, balancer.datagrams)
         except OSError:
--- a/deploy/soak/fleet.py
+++ b/deploy/soak/fleet.py
@@ -11,7 +11,7 @@
 import psutil
 from gevent import subprocess
 from promises import Promises
-from proxy import LinkProxy
+from proxy import LinkProxy, PeerLinks
 
 PROGRAM = Path(__file__).parents[2] / "platform/src/stoattray_platform/__main__.py"
 PASSED_ON = {
@@ -44,6 +44,8 @@
     ----------
     name, data_centre, host : str
         Who and where it is.
+    front : str
+        Address by which the other balancers reach it.
     ports : Ports
         Ports of this run.
     seeds : list of str
@@ -60,6 +62,7 @@
         data_centre: str,
         host: str,
         *,
+        front: str,
         ports: Ports,
         seeds: list[str],
         store: tuple[str, int],
@@ -70,7 +73,11 @@
         self.datagrams = (host, ports.datagrams)
         self.readiness = (host, ports.readiness)
         self.link = LinkProxy((host, ports.store), store)
+        self.peer_links = PeerLinks(
+            front, host, (ports.peers, ports.seeds), ports.peers
+        )
         self.is_stopped = False
+        self.is_cut_off = False
         self.n_starts = 0
         self._path = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
@@ -79,6 +86,7 @@
             "member": name,
             "data_centre": data_centre,
             "host": host,
+            "advertised_host": front,
             "seed_server": f"{host}:{ports.seeds}",
             "metrics_port": ports.metrics,
             "peer_port": ports.peers,
@@ -157,6 +165,7 @@
         gevent.joinall(tasks)
         for balancer in self.balancers:
             balancer.link.stop()
+            balancer.peer_links.stop()
 
     def restart(self, balancer: Balancer, number: signal.Signals, down: float) -> None:
         """End one process and start it again after some seconds."""
--- a/deploy/soak/injections.py
+++ b/deploy/soak/injections.py
@@ -105,6 +105,38 @@
     def _inject_link_silent(self, entry: Entry) -> None:
         self._set_link(entry, LinkFault.SILENT)
 
+    def _set_peers(self, entry: Entry, fault: LinkFault) -> None:
+        self._disturb(entry.seconds)
+        links = self._pick(entry).peer_links
+        links.set_fault(fault)
+        gevent.sleep(entry.seconds)
+        links.set_fault(LinkFault.NONE)
+
+    def _inject_peers_delay(self, entry: Entry) -> None:
+        self._set_peers(entry, LinkFault.DELAY)
+
+    def _inject_peers_reset(self, entry: Entry) -> None:
+        self._set_peers(entry, LinkFault.RESET)
+
+    def _inject_peers_one_way(self, entry: Entry) -> None:
+        self._set_peers(entry, LinkFault.ONE_WAY)
+
+    def _inject_peers_silent(self, entry: Entry) -> None:
+        self._set_peers(entry, LinkFault.SILENT)
+
+    def _inject_cut_off(self, entry: Entry) -> None:
+        """Cut one balancer off from callers, routers, the store and its peers."""
+        self._disturb(entry.seconds)
+        balancer = self._pick(entry)
+        links = (balancer.link, balancer.peer_links)
+        balancer.is_cut_off = True
+        for link in links:
+            link.set_fault(LinkFault.SILENT)
+        gevent.sleep(entry.seconds)
+        balancer.is_cut_off = False
+        for link in links:
+            link.set_fault(LinkFault.NONE)
+
     def _with_store(self, entry: Entry, name: str, value: object) -> None:
         self._disturb(entry.seconds)
         usual = getattr(type(self._run.store.faults)(), name)
--- a/deploy/soak/proxy.py
+++ b/deploy/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Loopback proxy of one link to the store, with faults of the link."""
+"""Loopback proxies of links to the store and between balancers, with their faults."""
 
 import socket as sockets
 import struct
@@ -7,7 +7,7 @@
 
 import gevent
 from gevent import socket
-from gevent.server import StreamServer
+from gevent.server import DatagramServer, StreamServer
 
 CHUNK_BYTES = 65_536
 HOLD_SECONDS = 0.05
@@ -25,12 +25,12 @@
 
 
 class LinkProxy:
-    """Passes bytes between one balancer and the store.
+    """Passes bytes of connections to one server.
 
     Parameters
     ----------
     listener, target : tuple of str and int
-        Where the balancer connects, and the store.
+        Where clients connect, and the server.
     """
 
     DELAY_SECONDS = 0.25
@@ -57,7 +57,11 @@
         if self.fault is LinkFault.RESET:
             _reset(near)
             return
-        far = socket.create_connection(self._target)
+        try:
+            far = socket.create_connection(self._target)
+        except OSError:
+            _reset(near)
+            return
         self._open |= {near, far}
         tasks = [
             gevent.spawn(partial(self._pass, near, far, is_answer=False)),
@@ -91,6 +95,68 @@
             gevent.sleep(HOLD_SECONDS)
 
 
+class DatagramProxy:
+    """Passes datagrams to one balancer.
+
+    Parameters
+    ----------
+    listener, target : tuple of str and int
+        Where others send, and the balancer.
+    """
+
+    def __init__(self, listener: tuple[str, int], target: tuple[str, int]) -> None:
+        self.fault = LinkFault.NONE
+        self._target = target
+        self._server = DatagramServer(listener, self._pass)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Pass no more datagrams."""
+        self._server.stop()
+
+    def _pass(self, data: bytes, _: object) -> None:
+        if self.fault is LinkFault.DELAY:
+            gevent.sleep(LinkProxy.DELAY_SECONDS)
+        if self.fault in (LinkFault.NONE, LinkFault.DELAY):
+            self._server.sendto(data, self._target)
+
+
+class PeerLinks:
+    """All that other balancers send to one of them.
+
+    Parameters
+    ----------
+    front, host : str
+        Address that the others use, and the balancer's own.
+    ports : tuple of int
+        Ports of connections.
+    datagram_port : int
+        Port of heartbeats.
+    """
+
+    def __init__(
+        self, front: str, host: str, ports: tuple[int, ...], datagram_port: int
+    ) -> None:
+        self._links: list[LinkProxy | DatagramProxy] = [
+            LinkProxy((front, port), (host, port)) for port in ports
+        ]
+        datagrams = DatagramProxy((front, datagram_port), (host, datagram_port))
+        self._links.append(datagrams)
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Change what all of them do."""
+        for link in self._links:
+            if isinstance(link, LinkProxy):
+                link.set_fault(fault)
+            else:
+                link.fault = fault
+
+    def stop(self) -> None:
+        """Pass nothing more."""
+        for link in self._links:
+            link.stop()
+
+
 def _reset(connection: socket.socket) -> None:
     try:
         connection.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, RESET_ON_CLOSE)
--- a/deploy/soak/run.py
+++ b/deploy/soak/run.py
@@ -94,12 +94,14 @@
 
     def _balancers(self, n_balancers: int, folder: Path) -> list[Balancer]:
         hosts = [f"127.{self._net}.1.{n + 1}" for n in range(n_balancers)]
-        seeds = [f"{host}:{self._ports.seeds}" for host in hosts[:3]]
+        fronts = [f"127.{self._net}.5.{n + 1}" for n in range(n_balancers)]
+        seeds = [f"{front}:{self._ports.seeds}" for front in fronts[:3]]
         return [
             Balancer(
                 f"edge-{number}",
                 DATA_CENTRES[number % len(DATA_CENTRES)],
                 host,
+                front=fronts[number],
                 ports=self._ports,
                 seeds=seeds,
                 store=self._store_address,
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -91,6 +91,8 @@
         Whose state is told and brought up to date.
     own : MemberEntry
         This balancer.
+    listen_host : str
+        Where heartbeats arrive here; others send them to the host that `own` gives.
     peer_port : int
         UDP and TCP port of every balancer.
     seeds : tuple of Address
@@ -112,6 +114,7 @@
         steering: Steering,
         own: MemberEntry,
         *,
+        listen_host: str,
         peer_port: int,
         seeds: tuple[Address, ...],
         is_reading: Callable[[], bool],
@@ -135,7 +138,7 @@
         self._is_copying = False
         self._socket = sockets.socket(sockets.AF_INET, sockets.SOCK_DGRAM)
         self._socket.setblocking(False)
-        self._socket.bind((own.host, peer_port))
+        self._socket.bind((listen_host, peer_port))
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
         self.is_leaving = False
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -107,7 +107,7 @@
         settings = self._settings
         self._own = MemberEntry(
             name=settings.member,
-            host=settings.host,
+            host=settings.advertised_host,
             data_centre=settings.data_centre,
             incarnation=time.time_ns() // 1_000_000,
         )
@@ -144,6 +144,7 @@
         self._peers = Peers(
             self._steering,
             self._own,
+            listen_host=settings.host,
             peer_port=settings.peer_port,
             seeds=settings.seeds,
             is_reading=lambda: self._reader.is_answered,
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -11,6 +11,7 @@
     "member",
     "data_centre",
     "host",
+    "advertised_host",
     "seed_server",
     "metrics",
     "peer_port",
@@ -28,6 +29,7 @@
     member: str
     data_centre: str
     host: str
+    advertised_host: str
     seed_server: Address | None
     metrics: Address
     peer_port: int
@@ -72,6 +74,7 @@
             member=self._text("member"),
             data_centre=self._text("data_centre"),
             host=host,
+            advertised_host=self._text("advertised_host", host),
             seed_server=_parse("seed_server", seed_server) if seed_server else None,
             metrics=(host, int(self._number("metrics_port", 1, 65_535))),
             peer_port=int(peer_port),
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -62,7 +62,8 @@
     def made(self, balancer: Balancer) -> Peers:
         peers = Peers(
             balancer.steering,
-            member_entry("edge-1", host="127.0.0.1"),
+            member_entry("edge-1"),
+            listen_host="127.0.0.1",
             peer_port=0,
             seeds=(),
             is_reading=lambda: False,
--- a/tests/balancer/steering/test_settings.py
+++ b/tests/balancer/steering/test_settings.py
@@ -43,6 +43,11 @@
         settings = self.load(json.dumps({**GOOD, "seed_server": "", "seeds": []}))
         self.assertIsNone(settings.seed_server)
 
+    def test_host_that_others_use_is_the_own_one_unless_set(self):
+        self.assertEqual(self.load(json.dumps(GOOD)).advertised_host, GOOD["host"])
+        settings = self.load(json.dumps({**GOOD, "advertised_host": "10.9.0.1"}))
+        self.assertEqual(settings.advertised_host, "10.9.0.1")
+
     def test_bad_values_name_the_setting(self):
         changes = (
             {"peer_port": 0},
