members: the first reader is passed on; liveness grows with the data centre

Cause: each balancer tells 8 of its data centre at a time. With 100 there, one hears a given other every 2.5 s on average, so that members looked dead two thirds of the time: each lost sight of the first reader and read the store itself, a stopping balancer waited its whole 2 s, and member_heard lines came by the hundred. Change: heartbeats carry the first reader that the sender knows of, with the age of its confirmation; a reader's own denial goes before what others pass on. The time after which a member is not live grows with the data centre, to 3 s at most. member_silent tells of a lost member, and only a new or returned one is member_heard; members unheard for 60 s are forgotten, where they were kept for ever.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -14,7 +14,7 @@
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import MemberEntry
-from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.member_terms import Heartbeat
 from stoattray_core.steering.replica import Difference, Record
 
 FORMAT_VERSION = 1
@@ -44,6 +44,7 @@
             heartbeat.n_asked,
             [_member_row(entry) for entry in heartbeat.known],
             heartbeat.failing,
+            heartbeat.reader,
         ]
     )
 
@@ -56,6 +57,7 @@
             :9
         ]
         failing = row[9] if len(row) > 9 else ()
+        passed_on = row[10] if len(row) > 10 else None
         if version != FORMAT_VERSION:
             return Refused(ErrorKind.MESSAGE_BAD_VERSION, f"version {version!r}")
         return Heartbeat(
@@ -71,6 +73,7 @@
             },
             known=tuple(_read_member(entry) for entry in known),
             failing=tuple(_read_number(cookie) for cookie in failing),
+            reader=None if passed_on is None else _read_reader(passed_on),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
@@ -172,6 +175,13 @@
     return plain
 
 
+def _read_reader(row: Any) -> tuple[str, int]:
+    name, age, *_ = row
+    if not isinstance(name, str):
+        raise TypeError("a reader's name is text")
+    return name, _read_number(age)
+
+
 def _read_number(value: Any) -> int:
     if type(value) is not int or value < 0:
         raise TypeError(f"{value!r} is not a whole number from 0 on")
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -31,7 +31,7 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.interfaces import EventSink
-from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.member_terms import Heartbeat
 from stoattray_core.steering.replica import Difference
 from stoattray_core.steering.steering import Steering
 
@@ -199,16 +199,21 @@
         """Return what this balancer tells of itself now."""
         steering = self._steering
         now = self._clock()
+        is_reader = self._is_reading() and not self.is_leaving
+        confirmed_age = max(0, steering.confirmed_age(now))
         return Heartbeat(
             member=self._own,
             is_ready=steering.is_ready and not self.is_leaving,
-            is_reader=self._is_reading() and not self.is_leaving,
+            is_reader=is_reader,
             revision=steering.replica.revision,
-            confirmed_age=max(0, steering.confirmed_age(now)),
+            confirmed_age=confirmed_age,
             return_age=steering.store_health.return_age(now),
             n_asked=steering.unanswered_requests(),
             known=steering.members.draw_known(now, n_known),
             failing=steering.failing(now),
+            reader=steering.members.first_reader(
+                now, confirmed_age if is_reader else None
+            ),
         )
 
     def _send_heartbeats(self, *, with_far: bool) -> None:
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -8,21 +8,24 @@
 
 from collections.abc import Iterable
 from random import Random
-from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.member_terms import CONFIRMED_MILLIS, Heartbeat
+from stoattray_core.steering.readers import Readers
 
 HEARD_MILLIS = 1_000
 """A member is live if heard within this time: five heartbeats in its data centre."""
 
-CONFIRMED_MILLIS = 2_200
-"""Age of a confirmed copy from which on a member reads for itself. A reader confirms
-its copy each 1.8 s at least, and tells so within 0.2 s; drains and configuration have
-to be in force within 3 s."""
+MAX_HEARD_FACTOR = 3.0
+"""Most that the time above grows by where a data centre has more members than each
+tells at once. At 100 members it is then 3 s, in which 7 of 10 live ones are heard."""
+
+SILENT_FACTOR = 3
+"""A member is said to be silent after so many times the time above."""
 
 FORGET_MILLIS = 60_000
-"""Members unheard for this long are no longer told anything."""
+"""Members unheard for this long are forgotten; one that lives tells of itself again."""
 
 SEEN_READY_MILLIS = 600
 """Routers have seen that a member is ready again after this time; they ask each half
@@ -38,42 +41,6 @@
 """Members elsewhere told each heartbeat; bytes between data centres are priced."""
 
 
-class Heartbeat(NamedTuple):
-    """What a balancer tells the others of itself.
-
-    Parameters
-    ----------
-    member : MemberEntry
-        Who it is.
-    is_ready : bool
-        Whether it can forward.
-    is_reader : bool
-        Whether it reads the store, and the store answers.
-    revision : int
-        Revision up to which its copy is complete.
-    confirmed_age : Millis
-        How long ago the store confirmed that.
-    return_age : Millis or None
-        How long ago the store came back after trouble.
-    n_asked : dict of int to int
-        Unanswered requests that it sees, by cookie of the server.
-    known : tuple of MemberEntry
-        Some members that it hears.
-    failing : tuple of int
-        Cookies of servers that it takes to fail requests.
-    """
-
-    member: MemberEntry
-    is_ready: bool
-    is_reader: bool
-    revision: int
-    confirmed_age: Millis
-    return_age: Millis | None
-    n_asked: dict[int, int]
-    known: tuple[MemberEntry, ...] = ()
-    failing: tuple[int, ...] = ()
-
-
 class MemberRow:
     """One other balancer as seen from here.
 
@@ -86,11 +53,10 @@
     """
 
     __slots__ = (
-        "confirmed_at",
         "entry",
         "heard_at",
-        "is_reader",
         "is_ready",
+        "is_silent",
         "learned_at",
         "ready_since",
         "revision",
@@ -100,10 +66,9 @@
         self.entry = entry
         self.learned_at = learned_at
         self.heard_at: Millis | None = None
-        self.confirmed_at: Millis | None = None
         self.is_ready = False
+        self.is_silent = True
         self.ready_since: Millis = 0
-        self.is_reader = False
         self.revision = 0
 
 
@@ -122,6 +87,8 @@
         self._own = own
         self._random = random
         self._rows: dict[str, MemberRow] = {}
+        self._readers = Readers(own.name)
+        self._heard_limit: Millis = HEARD_MILLIS
 
     @property
     def rows(self) -> Iterable[MemberRow]:
@@ -144,7 +111,7 @@
             row.learned_at = now
 
     def hear(self, heartbeat: Heartbeat, now: Millis) -> bool:
-        """Take a heartbeat; return whether its sender was not live before.
+        """Take a heartbeat; return whether its sender is new or had been silent.
 
         One of an older process is only believed when the newer one is silent.
         """
@@ -159,16 +126,38 @@
         if heartbeat.is_ready and not (is_same and row.is_ready):
             row.ready_since = now
         if entry != row.entry:
+            row.is_silent |= entry.incarnation != row.entry.incarnation
             row.entry = entry
             row.learned_at = now
         row.heard_at = now
         row.is_ready = heartbeat.is_ready
-        row.is_reader = heartbeat.is_reader
         row.revision = heartbeat.revision
-        row.confirmed_at = now - heartbeat.confirmed_age
+        if self._is_near(entry):
+            self._readers.hear(heartbeat, now)
         for known in heartbeat.known:
             self.learn(known, now)
-        return not was_live
+        is_news, row.is_silent = row.is_silent, False
+        return is_news
+
+    def forget(self, now: Millis) -> list[str]:
+        """Forget members that are long gone; return those newly found silent."""
+        self._readers.forget(now)
+        self._rows = {
+            name: row
+            for name, row in self._rows.items()
+            if now - max(row.heard_at or 0, row.learned_at) <= FORGET_MILLIS
+        }
+        n_near = sum(self._is_near(row.entry) for row in self._rows.values())
+        factor = min(MAX_HEARD_FACTOR, max(1.0, n_near / N_NEAR_TOLD))
+        self._heard_limit = int(HEARD_MILLIS * factor)
+        found = []
+        for name, row in self._rows.items():
+            heard_at = row.heard_at or 0
+            is_over = now - heard_at > SILENT_FACTOR * self._heard_limit
+            if is_over and not row.is_silent:
+                row.is_silent = True
+                found.append(name)
+        return found
 
     def live(self, now: Millis) -> list[MemberRow]:
         """Return the members that are heard."""
@@ -176,8 +165,7 @@
 
     def near(self, now: Millis) -> list[MemberRow]:
         """Return the live members of the own data centre."""
-        own = self._own.data_centre
-        return [row for row in self.live(now) if row.entry.data_centre == own]
+        return [row for row in self.live(now) if self._is_near(row.entry)]
 
     def may_turn_away(self, now: Millis) -> bool:
         """Return whether callers are served if this balancer is no longer ready.
@@ -188,7 +176,7 @@
         """
         n_ready, n_all = 0, 1
         for row in self._rows.values():
-            if row.entry.data_centre != self._own.data_centre or row.heard_at is None:
+            if not self._is_near(row.entry) or row.heard_at is None:
                 continue
             if now - row.heard_at > EXPECTED_BACK_MILLIS:
                 continue
@@ -207,20 +195,26 @@
         confirmed_age : Millis
             How long ago the own copy was confirmed, by the store or by a peer.
         """
-        return confirmed_age > CONFIRMED_MILLIS or self.reader_rank(now) == 0
+        if confirmed_age > CONFIRMED_MILLIS:
+            return True
+        return not any(name < self._own.name for name in self._reader_ages(now))
 
-    def reader_rank(self, now: Millis) -> int:
-        """Return how many live readers of the data centre go before this balancer.
+    def first_reader(
+        self, now: Millis, own_age: Millis | None
+    ) -> tuple[str, Millis] | None:
+        """Return the first reader of the data centre and its confirmation's age.
 
-        A reader that the store turns away says so and does not count.
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        own_age : Millis or None
+            Age of this balancer's own confirmation; None if it does not read.
         """
-        return sum(
-            row.entry.name < self._own.name
-            and row.confirmed_at is not None
-            and now - row.confirmed_at <= CONFIRMED_MILLIS
-            and row.is_reader
-            for row in self.near(now)
-        )
+        ages = self._reader_ages(now)
+        if own_age is not None and own_age <= CONFIRMED_MILLIS:
+            ages[self._own.name] = own_age
+        return min(ages.items(), default=None)
 
     def n_before(self, now: Millis) -> int:
         """Return how many live balancers of the data centre have an earlier name."""
@@ -266,11 +260,9 @@
         near: list[MemberEntry] = []
         far: list[MemberEntry] = []
         for row in self._rows.values():
-            last = row.learned_at if row.heard_at is None else row.heard_at
-            if now - max(last, row.learned_at) > FORGET_MILLIS:
+            if now - max(row.heard_at or 0, row.learned_at) > FORGET_MILLIS:
                 continue
-            is_near = row.entry.data_centre == self._own.data_centre
-            (near if is_near else far).append(row.entry)
+            (near if self._is_near(row.entry) else far).append(row.entry)
         told = self._draw(near, N_NEAR_TOLD)
         return told + self._draw(far, N_FAR_TOLD) if with_far else told
 
@@ -285,4 +277,21 @@
         return self._random.sample(entries, n_members)
 
     def _is_live(self, row: MemberRow, now: Millis) -> bool:
-        return row.heard_at is not None and now - row.heard_at <= HEARD_MILLIS
+        return row.heard_at is not None and now - row.heard_at <= self._heard_limit
+
+    def _reader_ages(self, now: Millis) -> dict[str, Millis]:
+        """Return confirmed readers, without those that fell silent.
+
+        Where many members are told by turns, a reader may be heard less often than its
+        confirmations are passed on.
+        """
+        ages = self._readers.fresh(now)
+        for name, age in list(ages.items()):
+            row = self._rows.get(name)
+            heard_at = row.heard_at if row is not None else None
+            if heard_at is not None and min(age, now - heard_at) > self._heard_limit:
+                del ages[name]
+        return ages
+
+    def _is_near(self, entry: MemberEntry) -> bool:
+        return entry.data_centre == self._own.data_centre
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -24,7 +24,8 @@
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.interfaces import Decoder, EventSink
-from stoattray_core.steering.members import Heartbeat, MemberTable
+from stoattray_core.steering.member_terms import Heartbeat
+from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.pace import Pace
 from stoattray_core.steering.packet import Packet, flow_name
 from stoattray_core.steering.peer_reports import PeerReports
@@ -241,6 +242,8 @@
     def clean_up(self, now: Millis) -> None:
         """Forget what is over; run about once a second."""
         self.beliefs.end_lapses(now)
+        for name in self.members.forget(now):
+            self._on_event("member_silent", member=name)
         self.servers.expire(now)
         for server in self.servers:
             self._pace.forget(server, now)
@@ -318,7 +321,7 @@
             service=server.entry.service,
             data_centre=server.entry.data_centre,
             n_open=server.n_open,
-            peer_load=server.peer_load,
+            peer_load=round(server.peer_load, 2),
             is_suspect=self.is_suspect(server, now),
             presence=server.presence.value,
             heard_age_ms=now - server.heard_at,
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -23,7 +23,7 @@
 )
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
-from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.member_terms import Heartbeat
 from stoattray_core.steering.replica import Difference, Record
 from tests.steering_builders import heartbeat, member_entry
 
@@ -44,6 +44,7 @@
             n_asked={4_000_000_000: 3},
             known=(member_entry("edge-3"),),
             failing=(7, 4_000_000_001),
+            reader=("edge-1", 300),
         )
         self.assertEqual(decode_heartbeat(encode_heartbeat(told)), told)
 
--- a/tests/core/steering/test_members.py
+++ b/tests/core/steering/test_members.py
@@ -3,8 +3,8 @@
 import unittest
 from random import Random
 
+from stoattray_core.steering.member_terms import CONFIRMED_MILLIS
 from stoattray_core.steering.members import (
-    CONFIRMED_MILLIS,
     FORGET_MILLIS,
     HEARD_MILLIS,
     N_FAR_TOLD,
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -12,7 +12,7 @@
     RequestKind,
     Route,
 )
-from stoattray_core.steering.members import Heartbeat
+from stoattray_core.steering.member_terms import Heartbeat
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.replica import Difference, Record
 from stoattray_core.steering.servers import ServerRow
@@ -148,8 +148,9 @@
         self.now = START
         self.recorder = Recorder()
         self.decoder = EntryDecoder()
+        self.own = member_entry(name, data_centre=data_centre)
         self.steering = Steering(
-            member_entry(name, data_centre=data_centre),
+            self.own,
             decoder=self.decoder,
             flow_life=FLOW_LIFE,
             random=Random(seed),
