pace: too fast is judged against quick answers, not against the mean

Cause: an answer sooner than 0.4 of the service's mean was taken for a failed request. In a burst the mean holds the queues, so that a request that met a free host looked failed; peers' opinions then spread the verdict. Change: the time of a quick answer follows quicker ones ten times faster than slower ones, and ones that had to queue hardly at all; the ratio of 0.4 stays.

--- a/packages/stoattray-core/src/stoattray_core/steering/pace.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pace.py
@@ -18,8 +18,15 @@
 """Requests of a service before its usual time is known."""
 
 FAST_RATIO = 0.4
-"""Answers sooner than this share of the usual time are too fast: work times spread by
-half, so that a good one is so fast once in some 300 times."""
+"""Answers sooner than this share of a quick answer's time are too fast: work times
+spread by half, so that a good one is so fast once in some hundreds."""
+
+QUICK_SLOWER_SMOOTHING = 0.002
+QUICK_QUEUED_SMOOTHING = 0.0005
+"""Weights of a slower answer in the time of a quick one, and of one that probably had
+to queue; a quicker one has ten times the first. That time follows requests that did not
+queue, and a burst hardly moves it. With the mean in its place, requests that met a free
+server during a burst looked failed."""
 
 FAST_SMOOTHING = 0.002
 """Weight of fast answers in the usual time: failing servers give many of them, and must
@@ -47,6 +54,7 @@
 
     def __init__(self) -> None:
         self._usual: dict[str, float] = {}
+        self._quick: dict[str, float] = {}
         self._n_samples: dict[str, int] = {}
 
     def note_answer(self, server: ServerRow, waited: Millis, now: Millis) -> bool:
@@ -70,10 +78,18 @@
         usual = self._usual.get(service, float(waited))
         n_samples = self._n_samples.get(service, 0) + 1
         self._n_samples[service] = n_samples
-        is_fast = n_samples > MIN_BASE_SAMPLES and waited < FAST_RATIO * usual
+        quick = self._quick.get(service, float(waited))
+        is_fast = n_samples > MIN_BASE_SAMPLES and waited < FAST_RATIO * quick
         smoothing = FAST_SMOOTHING if is_fast else BASE_SMOOTHING
         if n_samples <= MIN_BASE_SAMPLES:
-            smoothing = 1 / n_samples
+            smoothing = quick_smoothing = 1 / n_samples
+        elif waited < quick:
+            quick_smoothing = smoothing
+        elif _has_queued(server, now):
+            quick_smoothing = QUICK_QUEUED_SMOOTHING
+        else:
+            quick_smoothing = QUICK_SLOWER_SMOOTHING
+        self._quick[service] = quick + (waited - quick) * quick_smoothing
         self._usual[service] = usual + (waited - usual) * smoothing
         if is_fast:
             return True
@@ -100,3 +116,9 @@
         if server.slowness > 1.0 and now - server.paced_at >= FORGET_MILLIS:
             server.slowness = 1.0
             server.n_answers = 0
+
+
+def _has_queued(server: ServerRow, now: Millis) -> bool:
+    """Return whether a request that a server just answered probably had to queue."""
+    n_others = server.n_asked + server.peer_load
+    return n_others + 1 > server.capacity(now)
--- a/tests/core/steering/test_pace.py
+++ b/tests/core/steering/test_pace.py
@@ -50,6 +50,21 @@
         self.pace.forget(self.rows[0], START + FORGET_MILLIS)
         self.assertEqual(self.rows[0].slowness, 1.0)
 
+    def test_free_server_during_a_burst_does_not_look_failed(self):
+        for _ in range(100):
+            self.assertFalse(self.pace.note_answer(self.rows[0], 25, START))
+        self.rows[0].n_asked = 9
+        for _ in range(300):
+            self.pace.note_answer(self.rows[0], 100, START)
+        self.assertFalse(self.pace.note_answer(self.rows[1], 22, START))
+        self.assertTrue(self.pace.note_answer(self.rows[1], 4, START))
+
+    def test_first_answer_of_a_service_that_failed_is_not_the_rule(self):
+        self.pace.note_answer(self.rows[0], 1, START)
+        for _ in range(40):
+            self.pace.note_answer(self.rows[1], 25, START)
+        self.assertTrue(self.pace.note_answer(self.rows[0], 1, START))
+
 
 class SlowHostTest(unittest.TestCase):
     """A balancer under load with one host five times slower."""
