--- a/deploy/soak/injections.py
+++ b/deploy/soak/injections.py
@@ -18,6 +18,9 @@
 """How long after a fault bounds in time do not hold yet."""
 
 IN_FORCE_SECONDS = 3.0
+REUSE_SECONDS = 2.0
+"""How long an address rests before another host gets it, as on the users' platform."""
+
 DRAIN_SECONDS = 7.0
 """How long a leaving host goes on serving; flows are at most 5 s long."""
 
@@ -183,9 +186,10 @@
 
     def _inject_host_reuse(self, entry: Entry) -> None:
         if self._run.free_addresses:
-            gevent.sleep(2.0)
+            address = self._run.free_addresses.pop()
+            gevent.sleep(REUSE_SECONDS)
             service = list(SERVICES)[entry.pick % len(SERVICES)]
-            self._run.add_host(service, self._run.free_addresses.pop())
+            self._run.add_host(service, address)
 
     def _inject_host_add(self, entry: Entry) -> None:
         self._run.add_host(list(SERVICES)[entry.pick % len(SERVICES)])
