--- /dev/null
+++ b/deploy/fullsize.py
@@ -0,0 +1,97 @@
+"""Memory and processor time of a copy of N servers: ``python deploy/fullsize.py N``.
+
+Builds the records of N backend servers in the platform's form, hands them over as two
+balancers do, and prints lines of ``name value unit``. One size a process, since memory
+is taken at its peak.
+"""
+
+import json
+import resource
+import sys
+import time
+from random import Random
+
+from stoattray_balancer.steering._peer_codec import (
+    decode_difference,
+    encode_difference,
+)
+from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.member_terms import Heartbeat
+from stoattray_core.steering.replica import Difference, Record
+from stoattray_core.steering.steering import Steering
+from stoattray_platform.records import PlatformDecoder
+
+N_SERVICES = 40
+FLOW_LIFE_MILLIS = 60_000
+
+
+class _Silent:
+    """Takes events and writes none."""
+
+    def __call__(self, name: str, **fields: object) -> None:
+        return
+
+    def wants(self, name: str) -> bool:
+        return False
+
+    def left_out(self, name: str) -> None:
+        return
+
+
+def _record(number: int, random: Random) -> Record:
+    born = 1_790_000_000_000 + random.randrange(10**9)
+    value = {
+        "service": f"service-{number % N_SERVICES}",
+        "address": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:8080",
+        "zone": f"zone-{number % 9}",
+        "version": "1",
+        "capacity": 2,
+        "state": "ready",
+        "warmup_remaining_ms": 0,
+        "sequence": random.randrange(10**6),
+        "born": born,
+    }
+    key = f"servers/i-{random.getrandbits(40):010x}"
+    return Record(key, number + 1, json.dumps(value).encode())
+
+
+def _peak_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024
+
+
+def main() -> None:
+    """Measure one size."""
+    n_servers = int(sys.argv[1])
+    own = MemberEntry("edge-1", "10.1.0.10", "zone-1", 1)
+    steering = Steering(
+        own,
+        decoder=PlatformDecoder(),
+        flow_life=FLOW_LIFE_MILLIS,
+        random=Random(1),
+        on_event=_Silent(),
+    )
+    before = _peak_mb()
+    random = Random(1)
+    records = [_record(number, random) for number in range(n_servers)]
+    beat = Heartbeat(own, True, True, n_servers, 0, None, {})
+    started = time.process_time()
+    data = encode_difference(
+        beat, Difference(n_servers, records, True), may_compress=True
+    )
+    encoded = time.process_time()
+    del records
+    answer = decode_difference(data)
+    assert isinstance(answer, tuple), answer
+    decoded = time.process_time()
+    steering.take(answer[1], 1)
+    taken = time.process_time()
+    print(f"copy_bytes {len(data)} bytes")
+    print(f"encode_seconds {encoded - started:.3f} s")
+    print(f"decode_seconds {decoded - encoded:.3f} s")
+    print(f"take_seconds {taken - decoded:.3f} s")
+    print(f"servers {len(steering.servers)} servers")
+    print(f"peak_memory {_peak_mb():.1f} MB, {before:.1f} before")
+
+
+if __name__ == "__main__":
+    main()
