beliefs: the first copy is told in one line

Each line also takes processor time while callers wait for the start. Change: copy_taken tells revision, records and servers of the first copy; later changes are told one by one as before. Two tests of peers now expect the new line as well.

--- a/packages/stoattray-core/src/stoattray_core/steering/beliefs.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/beliefs.py
@@ -70,9 +70,22 @@
             self._confirmed_at = at
 
     def take(self, difference: Difference, now: Millis) -> None:
-        """Take changes from the store or a peer."""
-        for record in self.replica.merge(difference):
-            self._apply(record, now)
+        """Take changes from the store or a peer.
+
+        Of the first copy only a sum is told: a line for each server took longer than
+        reading it, and left no room for others.
+        """
+        is_first = self.replica.revision == 0
+        changed = self.replica.merge(difference)
+        for record in changed:
+            self._apply(record, now, is_first=is_first)
+        if is_first and changed:
+            self._on_event(
+                "copy_taken",
+                revision=self.replica.revision,
+                n_records=len(changed),
+                n_servers=len(self.servers),
+            )
 
     def end_lapses(self, now: Millis) -> None:
         """Remove servers whose records did not come back with the store."""
@@ -81,7 +94,7 @@
         for name in self.servers.end_lapses(now):
             self._on_event("backend_server_gone", server=name, reason="lapsed")
 
-    def _apply(self, record: Record, now: Millis) -> None:
+    def _apply(self, record: Record, now: Millis, *, is_first: bool) -> None:
         if record.value is None:
             self._remove(record, now)
             return
@@ -89,7 +102,7 @@
         if isinstance(entry, Configuration):
             self._install(entry, record, now)
         elif isinstance(entry, BackendServerEntry):
-            self._put_server(entry, record, now)
+            self._put_server(entry, record, now, is_told=not is_first)
         elif isinstance(entry, MemberEntry):
             self.members.learn(entry, now)
         elif isinstance(entry, Refused):
@@ -118,12 +131,13 @@
         )
 
     def _put_server(
-        self, entry: BackendServerEntry, record: Record, now: Millis
+        self, entry: BackendServerEntry, record: Record, now: Millis, *, is_told: bool
     ) -> None:
         before = self.servers.get(entry.name)
         was_draining = before is not None and before.entry.is_draining
         self.servers.put(entry, now)
-        if before is None or entry.is_draining != was_draining:
+        is_news = before is None or entry.is_draining != was_draining
+        if is_news and is_told:
             self._on_event(
                 "backend_server",
                 server=entry.name,
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -103,7 +103,9 @@
         with self.peer(2 * SILENCE_SECONDS) as address:
             self.peers._pull(address)
         self.assertTrue(self.balancer.steering.configuration)
-        self.assertEqual(self.balancer.recorder.names(), ["configuration_in_force"])
+        self.assertEqual(
+            self.balancer.recorder.names(), ["configuration_in_force", "copy_taken"]
+        )
 
     def test_peer_that_falls_silent_is_left(self):
         began = time.monotonic()
@@ -127,7 +129,9 @@
         with self.peer(0.5) as first, self.peer(0.5) as second:
             gevent.joinall([gevent.spawn(self.peers._pull, a) for a in (first, second)])
         names = self.balancer.recorder.names()
-        self.assertEqual(names, ["peer_answer_refused", "configuration_in_force"])
+        self.assertEqual(
+            names, ["peer_answer_refused", "configuration_in_force", "copy_taken"]
+        )
 
     def test_heartbeats_during_a_copy_ask_for_no_other(self):
         with self.peer(0.5) as address:
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -257,6 +257,22 @@
         self.assertEqual(balancer.steering.configuration.version, 5)
         self.assertIn("configuration_refused", balancer.recorder.names())
 
+    def test_first_copy_is_told_in_one_line_and_later_changes_one_by_one(self):
+        balancer = Balancer()
+        entries = [configuration(), server_entry("i-01"), server_entry("i-02")]
+        records = [
+            balancer.decoder.record(f"servers/{number}", 7, entry)
+            for number, entry in enumerate(entries)
+        ]
+        balancer.steering.take(Difference(7, records, True), balancer.now)
+        names = balancer.recorder.names()
+        self.assertEqual(names, ["configuration_in_force", "copy_taken"])
+        fields = balancer.recorder.events[-1][1]
+        self.assertEqual(fields, {"revision": 7, "n_records": 3, "n_servers": 2})
+        later = balancer.decoder.record("servers/9", 8, server_entry("i-03"))
+        balancer.steering.take(Difference(8, [later], False), balancer.now)
+        self.assertEqual(balancer.recorder.names()[2:], ["backend_server"])
+
     def test_stale_peer_changes_nothing(self):
         balancer = started("i-01", "i-02")
         record = balancer.decoder.record("configuration", 1, configuration(version=9))
