members: one of another data centre is told silent only when it is forgotten

Members elsewhere are told by turns, each some 7 s on the grown sites, so that member_silent and member_heard lines would have come for live ones. Change: only members of the own data centre are told silent after 3 s; what the two measuring scripts share stands once. Log lines only, no decision changes.

--- a/deploy/datapath.py
+++ b/deploy/datapath.py
@@ -15,6 +15,7 @@
 sys.path[:0] = [str(Path(__file__).parent / "soak"), str(Path(__file__).parents[1])]
 
 import packets  # noqa: E402
+from no_events import NoEvents  # noqa: E402
 from packets import ACK, FIN, SYN, Head  # noqa: E402
 
 from stoattray_balancer.steering.datagrams import DatagramPath  # noqa: E402
@@ -49,19 +50,6 @@
         return None
 
 
-class _Silent:
-    """Takes events and writes none."""
-
-    def __call__(self, name: str, **fields: object) -> None:
-        return
-
-    def wants(self, name: str) -> bool:
-        return False
-
-    def left_out(self, name: str) -> None:
-        return
-
-
 def main() -> None:
     """Measure and print."""
     sink = _bound()
@@ -73,7 +61,7 @@
         path_socket,
         clock=lambda: time.monotonic_ns() // 1_000_000,
         relay=lambda data: None,
-        on_event=_Silent(),
+        on_event=NoEvents(),
     )
     cookie = next(iter(steering.servers)).cookie
     loads = {
@@ -173,7 +161,7 @@
         decoder=_Entries(entries),
         flow_life=60_000,
         random=Random(1),
-        on_event=_Silent(),
+        on_event=NoEvents(),
     )
     records = [
         Record(f"k{index}", index + 1, str(index).encode())
--- a/deploy/fullsize.py
+++ b/deploy/fullsize.py
@@ -11,6 +11,8 @@
 import time
 from random import Random
 
+from no_events import NoEvents
+
 from stoattray_balancer.steering._peer_codec import (
     decode_difference,
     encode_difference,
@@ -25,19 +27,6 @@
 FLOW_LIFE_MILLIS = 60_000
 
 
-class _Silent:
-    """Takes events and writes none."""
-
-    def __call__(self, name: str, **fields: object) -> None:
-        return
-
-    def wants(self, name: str) -> bool:
-        return False
-
-    def left_out(self, name: str) -> None:
-        return
-
-
 def _record(number: int, random: Random) -> Record:
     born = 1_790_000_000_000 + random.randrange(10**9)
     value = {
@@ -68,7 +57,7 @@
         decoder=PlatformDecoder(),
         flow_life=FLOW_LIFE_MILLIS,
         random=Random(1),
-        on_event=_Silent(),
+        on_event=NoEvents(),
     )
     before = _peak_mb()
     random = Random(1)
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -22,7 +22,8 @@
 tells at once. At 100 members it is then 3 s, in which 7 of 10 live ones are heard."""
 
 SILENT_FACTOR = 3
-"""A member is said to be silent after so many times the time above."""
+"""A member of the own data centre is said to be silent after so many times the time
+above; others are told by turns, and are said to be when they are forgotten."""
 
 FORGET_MILLIS = 60_000
 """Members unheard for this long are forgotten; one that lives tells of itself again."""
@@ -142,19 +143,18 @@
     def forget(self, now: Millis) -> list[str]:
         """Forget members that are long gone; return those newly found silent."""
         self._readers.forget(now)
-        self._rows = {
-            name: row
+        gone = [
+            name
             for name, row in self._rows.items()
-            if now - max(row.heard_at or 0, row.learned_at) <= FORGET_MILLIS
-        }
+            if now - max(row.heard_at or 0, row.learned_at) > FORGET_MILLIS
+        ]
+        found = [name for name in gone if not self._rows.pop(name).is_silent]
         n_near = sum(self._is_near(row.entry) for row in self._rows.values())
         factor = min(MAX_HEARD_FACTOR, max(1.0, n_near / N_NEAR_TOLD))
         self._heard_limit = int(HEARD_MILLIS * factor)
-        found = []
         for name, row in self._rows.items():
-            heard_at = row.heard_at or 0
-            is_over = now - heard_at > SILENT_FACTOR * self._heard_limit
-            if is_over and not row.is_silent:
+            is_over = now - (row.heard_at or 0) > SILENT_FACTOR * self._heard_limit
+            if is_over and not row.is_silent and self._is_near(row.entry):
                 row.is_silent = True
                 found.append(name)
         return found
--- a/tests/core/steering/test_readers.py
+++ b/tests/core/steering/test_readers.py
@@ -158,6 +158,13 @@
         self.assertEqual(self.table.forget(later + 1_000), [])
         self.assertTrue(self.table.hear(heartbeat("edge-1"), later + 2_000))
 
+    def test_far_member_is_told_silent_only_when_it_is_forgotten(self):
+        far = heartbeat(member=member_entry("edge-8", data_centre="luzon-b"))
+        self.assertTrue(self.table.hear(far, START))
+        self.assertEqual(self.table.forget(START + 10_000), [])
+        self.assertFalse(self.table.hear(far, START + 10_000))
+        self.assertEqual(self.table.forget(START + 70_001), ["edge-8"])
+
     def test_new_process_of_a_member_is_news(self):
         self.table.hear(heartbeat("edge-1"), START)
         again = heartbeat(member=member_entry("edge-1", incarnation=2))
