soak: a restart waits for the start that is under way

Starting a process lets other greenlets run before its handle is kept, and the balancer no longer counted as stopped: the second roll had nothing to end and started another process of the same balancer, whose addresses were taken. Change: it counts as stopped until its start is done.

--- a/deploy/soak/fleet.py
+++ b/deploy/soak/fleet.py
@@ -173,8 +173,9 @@
             return
         balancer.end(number)
         gevent.sleep(down)
-        balancer.is_stopped = False
+        # Starting lets others run; until it is done a further restart has no process.
         balancer.start()
+        balancer.is_stopped = False
 
     def run_checks(self) -> None:
         """Look for processes that ended by themselves or grow, for ever."""
