--- a/deploy/soak/injections.py
+++ b/deploy/soak/injections.py
@@ -2,13 +2,13 @@
 
 import signal
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 import gevent
 from fleet import Balancer
 from hosts import SERVICES, Host
-from proxy import LinkFault
+from proxy import LinkFault, LinkProxy, PeerLinks
 from schedule import Entry
 
 if TYPE_CHECKING:
@@ -89,12 +89,19 @@
     def _inject_reload(self, entry: Entry) -> None:
         self._pick(entry).send(signal.SIGHUP)
 
-    def _set_link(self, entry: Entry, fault: LinkFault) -> None:
+    def _set_links(
+        self, entry: Entry, links: Iterable[LinkProxy | PeerLinks], fault: LinkFault
+    ) -> None:
+        """Let links do wrong for as long as an entry says."""
         self._disturb(entry.seconds)
-        link = self._pick(entry).link
-        link.set_fault(fault)
+        for link in links:
+            link.set_fault(fault)
         gevent.sleep(entry.seconds)
-        link.set_fault(LinkFault.NONE)
+        for link in links:
+            link.set_fault(LinkFault.NONE)
+
+    def _set_link(self, entry: Entry, fault: LinkFault) -> None:
+        self._set_links(entry, [self._pick(entry).link], fault)
 
     def _inject_link_delay(self, entry: Entry) -> None:
         self._set_link(entry, LinkFault.DELAY)
@@ -109,11 +116,7 @@
         self._set_link(entry, LinkFault.SILENT)
 
     def _set_peers(self, entry: Entry, fault: LinkFault) -> None:
-        self._disturb(entry.seconds)
-        links = self._pick(entry).peer_links
-        links.set_fault(fault)
-        gevent.sleep(entry.seconds)
-        links.set_fault(LinkFault.NONE)
+        self._set_links(entry, [self._pick(entry).peer_links], fault)
 
     def _inject_peers_delay(self, entry: Entry) -> None:
         self._set_peers(entry, LinkFault.DELAY)
@@ -129,16 +132,11 @@
 
     def _inject_cut_off(self, entry: Entry) -> None:
         """Cut one balancer off from callers, routers, the store and its peers."""
-        self._disturb(entry.seconds)
         balancer = self._pick(entry)
-        links = (balancer.link, balancer.peer_links)
         balancer.is_cut_off = True
-        for link in links:
-            link.set_fault(LinkFault.SILENT)
-        gevent.sleep(entry.seconds)
+        links = (balancer.link, balancer.peer_links)
+        self._set_links(entry, links, LinkFault.SILENT)
         balancer.is_cut_off = False
-        for link in links:
-            link.set_fault(LinkFault.NONE)
 
     def _with_store(self, entry: Entry, name: str, value: object) -> None:
         self._disturb(entry.seconds)
--- a/deploy/soak/proxy.py
+++ b/deploy/soak/proxy.py
@@ -110,6 +110,10 @@
         self._server = DatagramServer(listener, self._pass)
         self._server.start()
 
+    def set_fault(self, fault: LinkFault) -> None:
+        """Change what the link does; datagrams know no reset, and are dropped."""
+        self.fault = fault
+
     def stop(self) -> None:
         """Pass no more datagrams."""
         self._server.stop()
@@ -146,10 +150,7 @@
     def set_fault(self, fault: LinkFault) -> None:
         """Change what all of them do."""
         for link in self._links:
-            if isinstance(link, LinkProxy):
-                link.set_fault(fault)
-            else:
-                link.fault = fault
+            link.set_fault(fault)
 
     def stop(self) -> None:
         """Pass nothing more."""
