core: a request counts as pending for its target latency at most

Cause: after a power loss routers move flows between balancers as these return, so their responses pass another one.

--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -253,7 +253,7 @@
     server: ServerRow, target: Millis, max_per_slot: float, now: Millis
 ) -> Overload | None:
     """Return an overload if `server` has more flows per slot, half-open included."""
-    n_flows = server.n_certain_requests - server.n_pending_requests + server.n_open
-    if (n_flows + 1) / server.capacity(now) <= max_per_slot:
+    n_flows = server.n_certain_requests + server.n_half_open + 1
+    if n_flows / server.capacity(now) <= max_per_slot:
         return None
     return Overload(server, None, target, 0.0, 0.0, is_deferred=True)
--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -28,6 +28,9 @@
         When it was received and forwarded.
     follow_up_due_at : Millis
         When the server counts as silent if no packet has followed.
+    request_timeout_millis : Millis
+        How long a request counts as pending at its server. Its response may remain
+        unseen, as routers can move the flow to another balancer.
 
     Attributes
     ----------
@@ -38,11 +41,13 @@
     __slots__ = (
         "destination",
         "follow_up_due_at",
+        "is_counted_pending",
         "is_established",
         "key",
         "last_packet_at",
         "opening",
         "queueing_factor",
+        "request_timeout_millis",
         "requested_at",
         "sent_at",
         "server",
@@ -58,6 +63,7 @@
         opening: bytes,
         now: Millis,
         follow_up_due_at: Millis,
+        request_timeout_millis: Millis,
     ) -> None:
         self.key = key
         self.server = server
@@ -68,7 +74,9 @@
         self.follow_up_due_at = follow_up_due_at
         self.tried_servers = [server]
         self.is_established = False
+        self.request_timeout_millis = request_timeout_millis
         self.requested_at: Millis | None = None
+        self.is_counted_pending = False
         self.queueing_factor = 1.0
 
 
@@ -79,6 +87,7 @@
         self._rows: dict[bytes, FlowRow] = {}
         self._follow_up_queue: deque[tuple[Millis, FlowRow]] = deque()
         self._expiry_queue: deque[FlowRow] = deque()
+        self._request_queues: dict[Millis, deque[tuple[Millis, FlowRow]]] = {}
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -138,16 +147,31 @@
         """Note that the caller sent a request, unless one is already pending."""
         if row.requested_at is None:
             row.requested_at = now
+            row.is_counted_pending = True
             row.server.n_pending_requests += 1
             row.queueing_factor = row.server.queueing_factor(now)
+            queue = self._request_queues.setdefault(row.request_timeout_millis, deque())
+            queue.append((now, row))
 
     def pop_request(self, row: FlowRow) -> Millis | None:
         """Clear the pending request; return when it was sent, or None."""
         requested_at, row.requested_at = row.requested_at, None
-        if requested_at is not None:
-            row.server.n_pending_requests -= 1
+        self._uncount_request(row)
         return requested_at
 
+    def expire_requests(self, now: Millis) -> None:
+        """Stop counting requests as pending that are older than their timeout."""
+        for timeout, queue in self._request_queues.items():
+            while queue and now - queue[0][0] >= timeout:
+                requested_at, row = queue.popleft()
+                if row.requested_at == requested_at:
+                    self._uncount_request(row)
+
+    def _uncount_request(self, row: FlowRow) -> None:
+        if row.is_counted_pending:
+            row.is_counted_pending = False
+            row.server.n_pending_requests -= 1
+
     def close(self, row: FlowRow) -> None:
         """Remove a flow and its counts."""
         if self._rows.pop(row.key, None) is None:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -56,6 +56,10 @@
 """Half-open flows and pending requests expire after this time; callers give up an
 unanswered opening after 1.4 s."""
 
+PENDING_TARGETS = 1
+"""Target latencies for which a request counts as pending. Admission control keeps
+responses faster, so an older one was most likely answered unseen."""
+
 FRESH_REPLICA_MILLIS = 2_000
 """A replica confirmed within this time is recent enough to reset openings to unknown
 destinations."""
@@ -247,6 +251,7 @@
     def tick(self, now: Millis) -> Iterator[tuple[ServerRow, bytes]]:
         """Check overdue openings; yield those to retry, with the next server."""
         self.detect_pause(now)
+        self._flows.expire_requests(now)
         for flow in self._flows.pop_overdue(now):
             if now < self._detect_silence_from:
                 flow.follow_up_due_at = self._detect_silence_from
@@ -348,10 +353,19 @@
             opening=packet.data,
             now=now,
             follow_up_due_at=now + self.follow_up_timeout_millis,
+            request_timeout_millis=self._request_timeout_millis(packet.destination),
         )
         self._flows.open(flow, awaits_follow_up=now >= self._detect_silence_from)
         self._log_opened(packet, server, now)
 
+    def _request_timeout_millis(self, destination: bytes) -> Millis:
+        """Return how long a request to a destination counts as pending."""
+        assert self.configuration is not None
+        target = self.configuration.routes[destination].target_latency_millis
+        if target is None:
+            return UNANSWERED_MILLIS
+        return min(UNANSWERED_MILLIS, PENDING_TARGETS * target)
+
     def _log_opened(self, packet: Packet, server: ServerRow, now: Millis) -> None:
         """Log where a flow was opened and why, unless over the rate limit."""
         if not self._on_event.is_enabled("flow_opened"):
--- a/tests/core/steering/test_admission.py
+++ b/tests/core/steering/test_admission.py
@@ -128,7 +128,7 @@
         self.admission = AdmissionControl(Random(1))
         self.admission.start(START_MILLIS)
         self.server = server_row()
-        self.server.n_open = 4
+        self.server.n_half_open = 4
 
     def check(self, now=START_MILLIS, *, is_retransmission=False, **changes):
         return self.admission.check(
@@ -141,14 +141,14 @@
 
     def test_opening_beyond_a_short_queue_is_deferred(self):
         self.assertTrue(self.check().is_deferred)
-        self.server.n_open = 3
+        self.server.n_half_open = 3
         self.assertIsNone(self.check())
 
     def test_retransmitted_opening_only_gets_a_free_slot(self):
-        self.server.n_open = 2
+        self.server.n_half_open = 2
         self.assertIsNone(self.check())
         self.assertTrue(self.check(is_retransmission=True).is_deferred)
-        self.server.n_open = 1
+        self.server.n_half_open = 1
         self.assertIsNone(self.check(is_retransmission=True))
 
     def test_caller_without_time_for_a_second_try_is_not_deferred(self):
--- a/tests/core/steering/test_load_patterns.py
+++ b/tests/core/steering/test_load_patterns.py
@@ -268,6 +268,17 @@
         self.assertEqual(self.fleet.refusals.total(), 0)
         self.assertEqual(sum(not outcome.is_served for outcome in outcomes), 0)
 
+    def test_flows_that_routers_move_do_not_keep_openings_out(self):
+        for _ in range(3):
+            self.step(200)
+            self.fleet.move_flows()
+        self.wait_until_hosts_are_free()
+        self.step(1_000)
+        self.fleet.refusals.clear()
+        outcomes = self.fleet.run(5_000)
+        self.assertEqual(self.fleet.refusals.total(), 0)
+        self.assertEqual(sum(not outcome.is_served for outcome in outcomes), 0)
+
     def test_nearly_all_callers_of_the_outage_are_served(self):
         self.fleet.run(2_000)
         outcomes = [
@@ -278,6 +289,12 @@
         served = sum(outcome.is_served for outcome in outcomes)
         self.assertGreater(served, 0.85 * len(outcomes))
 
+    def test_nearly_all_callers_are_served_although_routers_move_flows(self):
+        for _ in range(3):
+            self.step(200)
+            self.fleet.move_flows()
+        self.test_nearly_all_callers_of_the_outage_are_served()
+
 
 class RetriedBurstTest(unittest.TestCase):
     """A burst whose refused callers retry at once, and that goes away again."""
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -367,3 +367,18 @@
             },
         )
         self.assertEqual(balancer.steering.counters["openings_deferred"], 1)
+
+    def test_request_without_a_seen_response_is_pending_for_its_target_latency(self):
+        balancer = balancer_with("i-01")
+        route = configuration().routes[LOOKUP_DESTINATION]
+        route = route._replace(target_latency_millis=100)
+        balancer.declare(configuration(2, routes={LOOKUP_DESTINATION: route}))
+        server = balancer.open()
+        request = following(40_000, server.cookie, has_data=True)
+        balancer.steering.route_packet(request, balancer.now)
+        balancer.advance(95)
+        self.assertEqual(balancer.steering.pending_requests(), {server.cookie: 1})
+        balancer.advance(5)
+        self.assertEqual(balancer.steering.pending_requests(), {})
+        balancer.follow(40_000, server)
+        self.assertEqual(server.n_pending_requests, 0)
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -230,6 +230,12 @@
                     partial(self._finish_start, data_centre, index),
                 )
 
+    def move_flows(self) -> None:
+        """Let routers send the packets of open flows to other balancers."""
+        for flow in self._flows.values():
+            n_balancers = len(self.balancers[flow.data_centre])
+            flow.balancer_index = self.random.randrange(n_balancers)
+
     def _start_balancer(self, data_centre: str, index: int) -> None:
         balancers = self.balancers[data_centre]
         balancers[index] = balancers[index].restarted(self.random.random())
