core, balancer, platform: versions of the store are pairs of era and revision

Cause: the users' store may return from an older copy, with revisions assigned again and Store-Era one higher. The replica was monotonic by revision alone: every record below the old height was ignored, and a revision that was assigned again lost its content.

Change: Version(era, revision) in replica, heartbeat, requests between peers, member rows and metrics. From the copy no configuration of a lower version, no entry of a server that is known newer or removed is applied, and servers that it lacks count as lapsed. Balancers write their records again, spread within the store's limit. Formats are extended by trailing fields; without the header the era is 0.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_http.py
@@ -6,6 +6,7 @@
 
 import socket as stdlib_socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 import gevent
 import httptools
@@ -44,14 +45,26 @@
         self.was_sent = was_sent
 
 
+class HttpResponse(NamedTuple):
+    """A response; names of `headers` are in lower case."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
 class _ResponseReader:
     """Collects one response from the parser's callbacks."""
 
     def __init__(self) -> None:
         self.is_complete = False
+        self.headers: dict[str, str] = {}
         self.chunks: list[bytes] = []
         self.parser = httptools.HttpResponseParser(self)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, body: bytes) -> None:
         self.chunks.append(body)
 
@@ -83,8 +96,8 @@
 
     def call(
         self, method: str, path: str, body: bytes, *, timeout_seconds: float
-    ) -> tuple[int, bytes]:
-        """Return status and body of the response.
+    ) -> HttpResponse:
+        """Return the response to a request.
 
         Parameters
         ----------
@@ -137,7 +150,7 @@
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         return head.encode() + b"\r\n" + body
 
-    def _read_response(self, connection: socket.socket) -> tuple[int, bytes]:
+    def _read_response(self, connection: socket.socket) -> HttpResponse:
         reader = _ResponseReader()
         n_bytes = 0
         while not reader.is_complete:
@@ -150,7 +163,9 @@
             reader.parser.feed_data(data)
         if not reader.parser.should_keep_alive():
             self.close()
-        return reader.parser.get_status_code(), b"".join(reader.chunks)
+        return HttpResponse(
+            reader.parser.get_status_code(), b"".join(reader.chunks), reader.headers
+        )
 
 
 def path_with_query(path: str, **parameters: str | int) -> str:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -1,8 +1,10 @@
 """Encoding of the messages between balancers with cookie placement.
 
 Messages use msgpack instead of thrift: thriftpy2 takes 13 MB, more than the rest of
-such a process. Messages are arrays; new fields are appended, and unknown trailing
-fields are ignored.
+such a process. Messages are arrays; new fields are appended, unknown trailing fields
+are ignored, and missing ones have defaults, so that balancers of different releases
+understand each other. To a release without eras, a lower revision of a newer era looks
+older and is not requested; it reads the store itself.
 """
 
 import zlib
@@ -15,7 +17,7 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import Heartbeat
-from stoattray_core.steering.replica import Difference, Record
+from stoattray_core.steering.replica import Difference, Record, Version
 
 FORMAT_VERSION = 1
 
@@ -46,6 +48,7 @@
             [_member_row(entry) for entry in heartbeat.live_members],
             heartbeat.failing_cookies,
             heartbeat.first_reader,
+            heartbeat.era,
         ]
     )
 
@@ -67,6 +70,7 @@
         ) = row[:9]
         failing_cookies = row[9] if len(row) > 9 else ()
         first_reader = row[10] if len(row) > 10 else None
+        era = row[11] if len(row) > 11 else 0
         if version != FORMAT_VERSION:
             return Refused(
                 ErrorKind.MESSAGE_BAD_VERSION, f"unsupported version {version!r}"
@@ -85,29 +89,30 @@
             live_members=tuple(_read_member(entry) for entry in live_members),
             failing_cookies=tuple(_read_number(cookie) for cookie in failing_cookies),
             first_reader=None if first_reader is None else _read_reader(first_reader),
+            era=_read_number(era),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
 
 
 class SyncRequest(NamedTuple):
-    """Request for the changes after a revision.
+    """Request for the changes after a version.
 
     Parameters
     ----------
-    after_revision : int
-        Revision up to which the requester's replica is complete.
+    after : Version
+        Version up to which the requester's replica is complete.
     may_compress : bool
         Whether the requester supports compressed responses.
     """
 
-    after_revision: int
+    after: Version
     may_compress: bool
 
 
-def encode_sync_request(after_revision: int) -> bytes:
-    """Return the request for the changes after a revision."""
-    return msgpack.packb([FORMAT_VERSION, after_revision, True])
+def encode_sync_request(after: Version) -> bytes:
+    """Return the request for the changes after a version."""
+    return msgpack.packb([FORMAT_VERSION, after.revision, True, after.era])
 
 
 def decode_sync_request(data: bytes) -> SyncRequest | Refused:
@@ -116,8 +121,10 @@
         version, after_revision, *more = msgpack.unpackb(data)
         if version != FORMAT_VERSION:
             return MALFORMED
+        era = more[1] if len(more) > 1 else 0
         return SyncRequest(
-            _read_number(after_revision), may_compress=more[:1] == [True]
+            Version(_read_number(era), _read_number(after_revision)),
+            may_compress=more[:1] == [True],
         )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
@@ -135,6 +142,7 @@
             difference.revision,
             difference.is_snapshot,
             rows,
+            difference.era,
         ]
     )
     if may_compress and len(data) >= MIN_COMPRESSED_BYTES:
@@ -146,14 +154,16 @@
     """Return heartbeat and changes of a response, or why it is refused."""
     try:
         plain = _decompress(data) if data.startswith(ZLIB_PREFIX) else data
-        version, heartbeat_bytes, revision, is_snapshot, rows, *_ = msgpack.unpackb(
+        version, heartbeat_bytes, revision, is_snapshot, rows, *more = msgpack.unpackb(
             plain
         )
         heartbeat = decode_heartbeat(heartbeat_bytes)
         if version != FORMAT_VERSION or isinstance(heartbeat, Refused):
             return MALFORMED
         records = [_read_record(row) for row in rows]
-        return heartbeat, Difference(_read_number(revision), records, bool(is_snapshot))
+        era = _read_number(more[0]) if more else 0
+        difference = Difference(_read_number(revision), records, bool(is_snapshot), era)
+        return heartbeat, difference
     except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -202,8 +202,8 @@
             Name of that balancer; None without a ready peer, above the rate limit or
             if sending fails.
         """
-        revision = self._steering.replica.revision
-        peer = self._steering.members.choose_relay_target(self._clock(), revision)
+        version = self._steering.replica.version
+        peer = self._steering.members.choose_relay_target(self._clock(), version)
         if peer is None or not self._relay_limit.try_acquire():
             return None
         return peer.name if self._send_datagram(RELAY_PREFIX + data, peer) else None
@@ -218,6 +218,7 @@
             member=self._own,
             is_ready=steering.is_ready and not self.is_leaving,
             is_reader=is_reader,
+            era=steering.replica.version.era,
             revision=steering.replica.revision,
             confirmed_age=confirmed_age,
             recovery_age=steering.store_health.recovery_age(now),
@@ -268,7 +269,7 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         if self._steering.apply_heartbeat(heartbeat, self._clock()):
             self._on_event("member_heard", member=heartbeat.member.name)
-        if heartbeat.revision > self._steering.replica.revision:
+        if heartbeat.version > self._steering.replica.version:
             address = (heartbeat.member.host, self._peer_port)
             may_pull = len(self._pulling_from) < MAX_CONCURRENT_PULLS
             if (
@@ -279,7 +280,7 @@
                 gevent.spawn(self._pull, address)
 
     def _pull(self, address: Address) -> None:
-        """Request the changes since the current revision from a peer and apply them."""
+        """Request the changes since the current version from a peer and apply them."""
         if address in self._pulling_from:
             return
         self._pulling_from.add(address)
@@ -303,7 +304,7 @@
         self, address: Address
     ) -> tuple[Heartbeat, Difference] | Refused:
         with connect(address) as connection:
-            send_frame(connection, encode_sync_request(self._steering.replica.revision))
+            send_frame(connection, encode_sync_request(self._steering.replica.version))
             n_bytes = receive_frame_length(connection)
             if n_bytes < MIN_SNAPSHOT_BYTES:
                 return decode_difference(receive_exactly(connection, n_bytes))
@@ -322,7 +323,7 @@
 
     def _send_difference(self, connection: socket.socket, request: SyncRequest) -> None:
         """Send the requested changes; above the snapshot limit, only members to ask."""
-        difference = self._steering.replica.changes_since(request.after_revision)
+        difference = self._steering.replica.changes_since(request.after)
         n_listed = N_LISTED_MEMBERS
         if (
             difference.is_snapshot
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -140,6 +140,9 @@
             settings.member,
             encode_member(self._own),
             min_lease=settings.min_lease_ms,
+            calls_per_second=settings.store_reads_per_second,
+            n_members=lambda: 1 + len(self._steering.members.rows),
+            era=lambda: self._steering.replica.version.era,
             random=self._random,
             on_event=self._log,
         )
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -52,6 +52,10 @@
     n_live = len(steering.members.live(now))
     yield from format_gauge("stoattray_live_peers", n_live)
     yield from format_gauge("stoattray_store_revision", steering.replica.revision)
+    yield from format_gauge("stoattray_store_era", steering.replica.version.era)
+    yield from format_gauge(
+        "stoattray_store_restored_total", steering.cluster_state.n_restored
+    )
     version = steering.configuration.version if steering.configuration else None
     yield from format_gauge("stoattray_configuration_version", version)
     yield from format_gauge("stoattray_copy_age_ms", steering.confirmed_age(now))
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -43,6 +43,19 @@
 """Lifetime of this balancer's record. Only starting balancers use it to find others,
 and heartbeats to one that has gone cost less than frequent renewals."""
 
+RESTORED_SPREAD_SECONDS = 2.0
+"""Shortest time over which balancers write their records again after the store returned
+from an older copy."""
+
+CALLS_PER_REGISTRATION = 3
+RESTORED_CALL_SHARE = 0.05
+"""Calls of one balancer, and the share of the store's limit for reads that all
+balancers use together while they write their records again. The limit for writes is a
+fifth."""
+
+ERA_CHECK_SECONDS = 1.0
+"""Time between checks of whether the store returned from an older copy."""
+
 RENEWAL_SECONDS = 18.0
 """Time between renewals; two may fail before the lease ends."""
 
@@ -124,10 +137,30 @@
         self.calls.record(operation, kind, self._clock() - started_at)
         if isinstance(response, Refused):
             return self._handle_refusal(response)
+        if response.era != self._steering.replica.version.era:
+            pause = self._handle_other_era(response)
+            if pause is not None:
+                return pause
         self._must_read_all = False
         self._handle_response(response, started_at)
         return BATCH_SECONDS if response.records else 0.0
 
+    def _handle_other_era(self, response: Difference) -> float | None:
+        """Return the pause before the next call, or None if the response applies.
+
+        The store has returned from an older copy. Changes after a revision that it has
+        assigned again lack those that were lost, so all records are read. A late answer
+        of an older era is dropped.
+        """
+        era = self._steering.replica.version.era
+        if response.era < era:
+            self._on_event("store_answer_outdated", era=response.era, held=era)
+            return self._backoff.record_failure()
+        if response.is_snapshot:
+            return None
+        self._must_read_all = True
+        return 0.0
+
     def _handle_response(self, response: Difference, started_at: Millis) -> None:
         now = self._clock()
         self._backoff.record_success()
@@ -161,6 +194,12 @@
         Encoded record.
     min_lease : Millis
         Shortest lease that the store grants.
+    calls_per_second : float
+        Rate limit of the store for all balancers.
+    n_members : callable
+        Returns the number of balancers.
+    era : callable
+        Returns the era of the store.
     random : Random
         Source of jitter.
     on_event : EventSink
@@ -174,12 +213,19 @@
         record: bytes,
         *,
         min_lease: Millis,
+        calls_per_second: float,
+        n_members: Callable[[], int],
+        era: Callable[[], int],
         random: Random,
         on_event: EventSink,
     ) -> None:
         self._client = client
         self._name = name
         self._record = record
+        self._calls_per_second = calls_per_second
+        self._n_members = n_members
+        self._era = era
+        self._written_era = 0
         self._lease_millis = max(LEASE_MILLIS, min_lease)
         self._random = random
         self._on_event = on_event
@@ -198,9 +244,9 @@
             refused = self._register_or_renew()
             if isinstance(refused, Refused):
                 gevent.sleep(self._backoff.record_failure())
-            else:
-                self._backoff.record_success()
-                gevent.sleep(RENEWAL_SECONDS * self._random.uniform(0.8, 1.0))
+                continue
+            self._backoff.record_success()
+            self._wait_until_due()
 
     def deregister(self) -> None:
         """Revoke the lease, which deletes the record; if that fails, it expires."""
@@ -214,13 +260,42 @@
             if isinstance(refused, Refused) and refused.kind is ErrorKind.NOT_FOUND:
                 self._on_event("lease_ended", lease=self._lease)
                 self._lease = None
-            else:
+            elif isinstance(refused, Refused) or not self._may_be_lost():
                 return refused
+            else:
+                return self._write(self._lease)
         lease = self._client.grant_lease(self._lease_millis)
         if isinstance(lease, Refused):
             return lease
+        return self._write(lease)
+
+    def _write(self, lease: int) -> None | Refused:
+        """Write the record under a lease, which is kept if that succeeds."""
+        era = self._era()
         refused = self._client.put_member(self._name, self._record, lease)
-        if not isinstance(refused, Refused):
-            self._lease = lease
-            self._on_event("registered", lease=lease)
-        return refused
+        if isinstance(refused, Refused):
+            self._lease = None
+            return refused
+        self._lease = lease
+        self._written_era = era
+        self._on_event("registered", lease=lease)
+        return None
+
+    def _may_be_lost(self) -> bool:
+        """Return whether the store returned from a copy since the last write."""
+        return self._era() > self._written_era
+
+    def _wait_until_due(self) -> None:
+        """Wait until the lease has to be renewed, or the record written again."""
+        due_seconds = RENEWAL_SECONDS * self._random.uniform(0.8, 1.0)
+        for _ in range(int(due_seconds / ERA_CHECK_SECONDS)):
+            gevent.sleep(ERA_CHECK_SECONDS)
+            if self._may_be_lost():
+                gevent.sleep(self._restored_pause())
+                return
+
+    def _restored_pause(self) -> float:
+        """Return a random pause that keeps all balancers within the rate limit."""
+        calls_per_second = RESTORED_CALL_SHARE * self._calls_per_second
+        seconds = self._n_members() * CALLS_PER_REGISTRATION / calls_per_second
+        return max(RESTORED_SPREAD_SECONDS, seconds) * self._random.random()
--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -2,6 +2,13 @@
 
 It is built from records of the store, read directly or through peers. The
 configuration's version never decreases.
+
+If the store returns from an older copy, what the copy holds may be outdated and what it
+lacks may exist. Until servers and operators have written again:
+
+1. A configuration of a lower version is not applied.
+2. A server's entry is not applied if a later one is known, or the server's removal.
+3. A server that the copy lacks counts as lapsed, not as removed.
 """
 
 from stoattray_core._identifiers import Millis
@@ -13,7 +20,7 @@
 )
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
-from stoattray_core.steering.replica import Difference, Record, Replica
+from stoattray_core.steering.replica import Difference, Record, Replica, Version
 from stoattray_core.steering.servers import (
     REREGISTRATION_MILLIS,
     Presence,
@@ -50,6 +57,7 @@
         self.replica = Replica()
         self.store_health = StoreHealth(REREGISTRATION_MILLIS)
         self.n_malformed = 0
+        self.n_restored = 0
         self._decoder = decoder
         self._on_event = on_event
         self._configuration: Configuration | None = None
@@ -76,13 +84,20 @@
         took longer than reading the snapshot, and used up the rate limit of other
         events.
         """
-        is_first = self.replica.revision == 0
+        before = self.replica.version
+        is_first = before.revision == 0
         changed = self.replica.merge(difference)
+        is_restored = not is_first and self.replica.version.era > before.era
+        if is_restored:
+            self._note_restored(before, now)
         for record in changed:
-            self._apply_record(record, now, is_first=is_first)
+            self._apply_record(
+                record, now, logs_change=not is_first, is_from_copy=is_restored
+            )
         if is_first and changed:
             self._on_event(
                 "copy_taken",
+                era=self.replica.version.era,
                 revision=self.replica.revision,
                 n_records=len(changed),
                 n_servers=len(self.servers),
@@ -95,7 +110,21 @@
         for name in self.servers.remove_lapsed(now):
             self._on_event("backend_server_gone", server=name, reason="lapsed")
 
-    def _apply_record(self, record: Record, now: Millis, *, is_first: bool) -> None:
+    def _note_restored(self, before: Version, now: Millis) -> None:
+        self.n_restored += 1
+        self.store_health.note_restored(now)
+        version = self.replica.version
+        self._on_event(
+            "store_restored",
+            era_before=before.era,
+            era=version.era,
+            revision_before=before.revision,
+            revision=version.revision,
+        )
+
+    def _apply_record(
+        self, record: Record, now: Millis, *, logs_change: bool, is_from_copy: bool
+    ) -> None:
         if record.value is None:
             self._apply_removal(record, now)
             return
@@ -103,7 +132,10 @@
         if isinstance(entry, Configuration):
             self._apply_configuration(entry, record, now)
         elif isinstance(entry, BackendServerEntry):
-            self._apply_server(entry, record, now, logs_change=not is_first)
+            if is_from_copy and self.servers.is_outdated(entry):
+                self._on_event("record_outdated", key=record.key)
+                return
+            self._apply_server(entry, record, now, logs_change=logs_change)
         elif isinstance(entry, MemberEntry):
             self.members.discover(entry, now)
         elif isinstance(entry, Refused):
@@ -129,6 +161,7 @@
         self._on_event(
             "configuration_in_force",
             version=entry.version,
+            era=self.replica.version.era,
             revision=record.revision,
             n_routes=len(entry.routes),
         )
--- a/packages/stoattray-core/src/stoattray_core/steering/entries.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/entries.py
@@ -85,6 +85,8 @@
         Remaining warm-up time.
     started_at : int
         Start time as Unix time in milliseconds; distinguishes restarts under one name.
+    sequence : int
+        Number of the entry among those of one start; increases with each write.
     """
 
     name: str
@@ -96,6 +98,7 @@
     is_draining: bool
     warmup_remaining_millis: Millis
     started_at: int
+    sequence: int = 0
 
 
 class MemberEntry(NamedTuple):
--- a/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
@@ -4,6 +4,7 @@
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.replica import Version
 
 MAX_CONFIRMED_AGE_MILLIS = 2_200
 """A member whose replica was confirmed longer ago reads the store itself. A reader
@@ -37,6 +38,8 @@
     first_reader : tuple of (str, Millis) or None
         First reader in its data centre by name, and the time since the store
         confirmed that reader's replica.
+    era : int
+        Era of the store that the revision belongs to.
     """
 
     member: MemberEntry
@@ -49,3 +52,9 @@
     live_members: tuple[MemberEntry, ...] = ()
     failing_cookies: tuple[int, ...] = ()
     first_reader: tuple[str, Millis] | None = None
+    era: int = 0
+
+    @property
+    def version(self) -> Version:
+        """Return the version up to which the sender's replica is complete."""
+        return Version(self.era, self.revision)
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -5,13 +5,14 @@
 whose replica is no longer confirmed reads the store itself, whichever member is first.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from random import Random
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import MAX_CONFIRMED_AGE_MILLIS, Heartbeat
 from stoattray_core.steering.readers import ReaderTable
+from stoattray_core.steering.replica import Version
 
 LIVENESS_TIMEOUT_MILLIS = 1_000
 """A member is live for this time after a heartbeat: five local heartbeat intervals."""
@@ -59,8 +60,8 @@
         Whether it counts as silent; True before its first heartbeat.
     ready_since : Millis
         When it last became ready.
-    revision : int
-        Revision of its replica of the store.
+    version : Version
+        Version of its replica of the store.
     """
 
     __slots__ = (
@@ -70,7 +71,7 @@
         "is_silent",
         "learned_at",
         "ready_since",
-        "revision",
+        "version",
     )
 
     def __init__(self, entry: MemberEntry, learned_at: Millis) -> None:
@@ -80,7 +81,7 @@
         self.is_ready = False
         self.is_silent = True
         self.ready_since: Millis = 0
-        self.revision = 0
+        self.version = Version(0, 0)
 
 
 class MemberTable:
@@ -102,7 +103,7 @@
         self._liveness_timeout_millis: Millis = LIVENESS_TIMEOUT_MILLIS
 
     @property
-    def rows(self) -> Iterable[MemberRow]:
+    def rows(self) -> Collection[MemberRow]:
         """Return all rows."""
         return self._rows.values()
 
@@ -143,7 +144,7 @@
             row.learned_at = now
         row.heartbeat_at = now
         row.is_ready = heartbeat.is_ready
-        row.revision = heartbeat.revision
+        row.version = heartbeat.version
         if self._is_local(entry):
             self._readers.receive_heartbeat(heartbeat, now)
         for member in heartbeat.live_members:
@@ -234,15 +235,15 @@
         """Return how many live balancers of the data centre have an earlier name."""
         return sum(row.entry.name < self._own.name for row in self.live_local(now))
 
-    def choose_relay_target(self, now: Millis, revision: int) -> MemberEntry | None:
+    def choose_relay_target(self, now: Millis, version: Version) -> MemberEntry | None:
         """Return a ready balancer that may hold newer state than this one, or None.
 
         Parameters
         ----------
         now : Millis
             Current time.
-        revision : int
-            Revision of this balancer's replica; a later one is preferred, then one in
+        version : Version
+            Version of this balancer's replica; a later one is preferred, then one in
             this data centre.
         """
         ready = [row for row in self.live(now) if row.is_ready]
@@ -252,7 +253,7 @@
         best = max(
             ready,
             key=lambda row: (
-                row.revision > revision,
+                row.version > version,
                 row.entry.data_centre == own,
                 self._random.random(),
             ),
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -233,6 +233,20 @@
         self._lapsed.discard(entry.name)
         return row
 
+    def is_outdated(self, entry: BackendServerEntry) -> bool:
+        """Return whether an entry is older than what is known of its server.
+
+        The last entry of a removed server is outdated, too: the server has gone since.
+        """
+        written = (entry.started_at, entry.sequence)
+        row = self._rows.get(entry.name)
+        if row is not None:
+            return written < (row.entry.started_at, row.entry.sequence)
+        removed = self._removed.get(entry.name)
+        if removed is None:
+            return False
+        return written <= (removed.entry.started_at, removed.entry.sequence)
+
     def mark_removed(
         self, name: str, now: Millis, *, may_be_lapsed: bool
     ) -> Presence | None:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -202,7 +202,7 @@
         if heartbeat.recovery_age is not None:
             self.store_health.note_peer_recovery(heartbeat.recovery_age, now)
         # Two empty replicas (revision 0) must not confirm each other.
-        if 0 < heartbeat.revision == self.replica.revision:
+        if heartbeat.revision > 0 and heartbeat.version == self.replica.version:
             self.confirm_replica(now - heartbeat.confirmed_age)
         return was_silent
 
@@ -211,9 +211,10 @@
     ) -> None:
         """Apply the changes that a peer sent because this balancer lacks them."""
         self.apply_heartbeat(heartbeat, now)
-        has_changes = difference.revision > 0
-        if has_changes and difference.revision >= self.replica.revision:
-            self.apply_changes(difference, now)
+        if difference.revision == 0 or difference.version < self.replica.version:
+            return
+        self.apply_changes(difference, now)
+        if self.replica.version == difference.version:
             self.confirm_replica(now - heartbeat.confirmed_age)
 
     def route_packet(self, packet: Packet, now: Millis) -> ServerRow | Refused:
@@ -384,6 +385,7 @@
             presence=server.presence.value,
             heard_age_ms=now - server.record_received_at,
             version=self.configuration.version,
+            era=self.replica.version.era,
             revision=self.replica.revision,
             confirmed_age_ms=self.confirmed_age(now),
         )
--- a/packages/stoattray-core/src/stoattray_core/steering/store_health.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/store_health.py
@@ -54,6 +54,10 @@
         self._state = StoreState.UNHEALTHY
         return was_healthy
 
+    def note_restored(self, now: Millis) -> None:
+        """Record that the store returned from a copy, which may lack records."""
+        self._recovered_at = now
+
     def note_peer_recovery(self, age: Millis, now: Millis) -> None:
         """Record a peer's report that the store recovered `age` ago."""
         recovered_at = now - age
--- a/tests/balancer/steering/test_http.py
+++ b/tests/balancer/steering/test_http.py
@@ -108,9 +108,20 @@
         with self.assertRaises(HttpError):
             connection.call("GET", "/", b"", timeout_seconds=1)
         self.assertEqual(
-            connection.call("GET", "/", b"", timeout_seconds=1), (200, b"")
+            connection.call("GET", "/", b"", timeout_seconds=1),
+            (200, b"", {"content-length": "0"}),
         )
 
+    def test_header_names_are_in_lower_case(self):
+        def handle(accepted, _):
+            accepted.recv(1_024)
+            accepted.sendall(
+                b"HTTP/1.1 200 OK\r\nStore-Era: 3\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        response = self.serve(handle).call("GET", "/", b"", timeout_seconds=1)
+        self.assertEqual(response.headers["store-era"], "3")
+
     def test_query_is_percent_encoded(self):
         self.assertEqual(
             path_with_query("/a", prefix="", after="x/y z"),
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -24,7 +24,7 @@
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.heartbeat import Heartbeat
-from stoattray_core.steering.replica import Difference, Record
+from stoattray_core.steering.replica import Difference, Record, Version
 from tests.steering_builders import heartbeat, member_entry
 
 ANY_VALUE = st.recursive(
@@ -55,7 +55,8 @@
 
     def test_request_and_member(self):
         self.assertEqual(
-            decode_sync_request(encode_sync_request(12)), SyncRequest(12, True)
+            decode_sync_request(encode_sync_request(Version(2, 12))),
+            SyncRequest(Version(2, 12), True),
         )
         member = member_entry()
         self.assertEqual(decode_member(encode_member(member)), member)
@@ -78,7 +79,8 @@
 
     def test_request_of_an_older_version_gets_uncompressed_responses(self):
         data = msgpack.packb([1, 12])
-        self.assertEqual(decode_sync_request(data), SyncRequest(12, may_compress=False))
+        request = SyncRequest(Version(0, 12), may_compress=False)
+        self.assertEqual(decode_sync_request(data), request)
 
     def test_field_of_a_later_version_is_ignored(self):
         row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -24,7 +24,7 @@
     MIN_SNAPSHOT_BYTES,
     Peers,
 )
-from stoattray_core.steering.replica import Difference
+from stoattray_core.steering.replica import Difference, Version
 from tests.steering_builders import Balancer, configuration, heartbeat, member_entry
 
 N_CHUNKS = 10
@@ -85,7 +85,7 @@
 
         def serve(connection, _):
             request = receive_exactly(connection, receive_frame_length(connection))
-            assert decode_sync_request(request).after_revision == 0
+            assert decode_sync_request(request).after == (0, 0)
             data = encode_difference(heartbeat(), self.snapshot, may_compress=False)
             data = len(data).to_bytes(4) + data
             n_bytes = -(-len(data) // N_CHUNKS)
@@ -151,7 +151,7 @@
 
     def test_concurrent_snapshots_are_limited(self):
         self.balancer.steering.apply_changes(self.snapshot, self.balancer.now)
-        request = SyncRequest(after_revision=0, may_compress=False)
+        request = SyncRequest(after=Version(0, 0), may_compress=False)
         links = [SlowLink() for _ in range(MAX_CONCURRENT_SNAPSHOTS + 1)]
         sending = [
             gevent.spawn(self.peers._send_difference, link, request) for link in links
--- a/tests/balancer/steering/test_store_reader.py
+++ b/tests/balancer/steering/test_store_reader.py
@@ -5,6 +5,7 @@
 
 from stoattray_balancer.steering.store_reader import (
     BATCH_SECONDS,
+    CALLS_PER_REGISTRATION,
     Registration,
     StoreReader,
 )
@@ -101,11 +102,15 @@
     def setUp(self):
         self.store = ScriptedStore()
         self.recorder = Balancer().recorder
+        self.era = 0
         self.registration = Registration(
             self.store,
             "edge-1",
             b"me",
             min_lease=1_000,
+            calls_per_second=2_000.0,
+            n_members=lambda: 4,
+            era=lambda: self.era,
             random=Random(1),
             on_event=self.recorder,
         )
@@ -135,6 +140,40 @@
         self.assertIs(self.step(grant_lease=7, put_member=UNAVAILABLE), UNAVAILABLE)
         self.assertIsNone(self.step(grant_lease=8, put_member=None))
 
+    def test_record_is_written_again_after_the_store_returned_from_a_copy(self):
+        self.step(grant_lease=7, put_member=None)
+        self.era = 1
+        self.assertIsNone(self.step(renew_lease=None, put_member=None))
+        self.assertEqual(self.store.calls[-1], ("put_member", "edge-1", b"me", 7))
+        self.assertIsNone(self.step(renew_lease=None))
+
+    def test_lease_that_the_copy_lacks_is_replaced(self):
+        self.step(grant_lease=7, put_member=None)
+        self.era = 1
+        ended = Refused(ErrorKind.NOT_FOUND)
+        self.step(renew_lease=ended, grant_lease=8, put_member=None)
+        self.assertEqual(self.store.calls[-1], ("put_member", "edge-1", b"me", 8))
+        self.assertIsNone(self.step(renew_lease=None))
+
+    def test_write_answered_before_the_return_is_repeated(self):
+        def put_member(*_):
+            self.era = 1
+
+        self.store.put_member = put_member
+        self.step(grant_lease=7)
+        self.assertTrue(self.registration._may_be_lost())
+
+    def test_78_balancers_write_again_within_the_rate_limit(self):
+        n_members = 78
+        self.registration._n_members = lambda: n_members
+        pauses = [self.registration._restored_pause() for _ in range(n_members)]
+        for start in range(int(max(pauses)) + 1):
+            n_calls = CALLS_PER_REGISTRATION * sum(
+                start <= pause < start + 1 for pause in pauses
+            )
+            self.assertLess(n_calls, 400)
+        self.assertGreater(max(pauses), 1.0)
+
     def test_deregistering_revokes_the_lease(self):
         self.step(grant_lease=7, put_member=None)
         self.store.responses = {"revoke_lease": [None]}
--- a/tests/core/steering/test_members.py
+++ b/tests/core/steering/test_members.py
@@ -61,7 +61,7 @@
             self.table.receive_heartbeat(heartbeat("edge-1", revision=9), START_MILLIS)
         )
         [row] = self.table.rows
-        self.assertEqual(row.revision, 0)
+        self.assertEqual(row.version, (0, 0))
 
     def test_restart_with_a_clock_set_back_is_accepted_after_the_timeout(self):
         self.table.receive_heartbeat(
@@ -72,7 +72,7 @@
             self.table.receive_heartbeat(heartbeat("edge-1", revision=4), later)
         )
         [row] = self.table.rows
-        self.assertEqual((row.revision, row.entry.incarnation), (4, 1))
+        self.assertEqual((row.version, row.entry.incarnation), ((0, 4), 1))
 
     def test_gossip_does_not_replace_the_entry_of_a_live_member(self):
         self.table.receive_heartbeat(heartbeat("edge-1"), START_MILLIS)
@@ -85,7 +85,7 @@
                 heartbeat("edge-1", revision=4), START_MILLIS + 2
             )
         )
-        self.assertEqual(row.revision, 4)
+        self.assertEqual(row.version, (0, 4))
 
     def test_gossip_replaces_the_entry_of_a_silent_member(self):
         self.table.receive_heartbeat(heartbeat("edge-1"), START_MILLIS)
--- a/tests/core/steering/test_replica.py
+++ b/tests/core/steering/test_replica.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from stoattray_core.steering import replica as replica_module
-from stoattray_core.steering.replica import Difference, Record, Replica
+from stoattray_core.steering.replica import Difference, Record, Replica, Version
 
 
 def difference(revision, *records, is_snapshot=False):
@@ -54,7 +54,7 @@
     def test_difference_includes_deletions(self):
         self.replica.merge(difference(2, Record("a", 1, b""), Record("b", 2, b"")))
         self.replica.merge(difference(3, Record("a", 3, None)))
-        changes = self.replica.changes_since(2)
+        changes = self.replica.changes_since(Version(0, 2))
         self.assertEqual(changes.records, [Record("a", 3, None)])
         self.assertFalse(changes.is_snapshot)
 
@@ -64,8 +64,8 @@
             self.replica.merge(
                 difference(revision, Record(f"k{revision}", revision, None))
             )
-        self.assertTrue(self.replica.changes_since(1).is_snapshot)
-        self.assertFalse(self.replica.changes_since(limit).is_snapshot)
+        self.assertTrue(self.replica.changes_since(Version(0, 1)).is_snapshot)
+        self.assertFalse(self.replica.changes_since(Version(0, limit)).is_snapshot)
 
     @given(
         st.lists(
@@ -80,8 +80,8 @@
             record = Record(key, revision, value)
             first.merge(difference(revision, record))
             if random.random() < 0.3:
-                second.merge(first.changes_since(second.revision))
-        second.merge(first.changes_since(second.revision))
+                second.merge(first.changes_since(second.version))
+        second.merge(first.changes_since(second.version))
         self.assertEqual(second.revision, first.revision)
         for key in "abc":
             self.assertEqual(second.get(key), first.get(key))
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -277,7 +277,9 @@
         names = balancer.recorder.names()
         self.assertEqual(names, ["configuration_in_force", "copy_taken"])
         fields = balancer.recorder.events[-1][1]
-        self.assertEqual(fields, {"revision": 7, "n_records": 3, "n_servers": 2})
+        self.assertEqual(
+            fields, {"era": 0, "revision": 7, "n_records": 3, "n_servers": 2}
+        )
         later = balancer.decoder.record("servers/9", 8, server_entry("i-03"))
         balancer.steering.apply_changes(Difference(8, [later], False), balancer.now)
         self.assertEqual(balancer.recorder.names()[2:], ["backend_server"])
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -14,7 +14,7 @@
 )
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.packet import Packet
-from stoattray_core.steering.replica import Difference, Record
+from stoattray_core.steering.replica import Difference, Record, Version
 from stoattray_core.steering.servers import ServerRow
 from stoattray_core.steering.steering import Steering
 
@@ -171,7 +171,7 @@
         balancer._revision = self._revision
         balancer.steering.store_health.note_response(self.now)
         balancer.steering.apply_changes(
-            self.steering.replica.changes_since(0), self.now
+            self.steering.replica.changes_since(Version(0, 0)), self.now
         )
         balancer.steering.confirm_replica(self.now)
         return balancer
