soak: the store returns from older copies (--restores)

Every 0.5 to 9 s the store is away for 0.2 to 3 s and returns from a copy 0.5 to 10 s old; hosts and operator write again within 2 s.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -26,6 +26,11 @@
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
     parser.add_argument("--minutes", type=float, help="run new seeds for this long")
     parser.add_argument("--processes", type=int, default=4, help="number of balancers")
+    parser.add_argument(
+        "--restores",
+        action="store_true",
+        help="the store also returns from older copies",
+    )
     parser.add_argument(
         "--replay", type=Path, help="report whose failing seeds are run again"
     )
@@ -36,7 +41,10 @@
     reports = []
     for seed in _seeds(arguments):
         report, log_directory = execute_run(
-            seed, arguments.seconds, arguments.processes
+            seed,
+            arguments.seconds,
+            arguments.processes,
+            has_restores=arguments.restores,
         )
         if report["violations"]:
             report["logs"] = str(log_directory)
--- a/deploy/soak/backend_servers.py
+++ b/deploy/soak/backend_servers.py
@@ -73,6 +73,8 @@
         self._socket: socket.socket | None = None
         self._tasks: list[gevent.Greenlet] = []
         self._lease = 0
+        self._sequence = 0
+        self._record = b""
 
     def start(self) -> None:
         """Receive packets and register in the store."""
@@ -105,12 +107,14 @@
     def _keep_registered(self) -> None:
         store = self._shared.store
         while True:
-            key = f"servers/{self.name}"
-            if not store.faults.is_down and key not in store.items:
+            item = store.items.get(f"servers/{self.name}")
+            is_current = item is not None and item.value == self._record
+            if not store.faults.is_down and not is_current:
                 self._write_record()
             gevent.sleep(REGISTRATION_PERIOD_SECONDS)
 
     def _write_record(self) -> None:
+        self._sequence += 1
         body = {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
@@ -119,10 +123,11 @@
             "capacity": 2,
             "state": "ready" if self.draining_since is None else "draining",
             "warmup_remaining_ms": 0,
-            "sequence": 1,
+            "sequence": self._sequence,
             "born": 1,
         }
-        self._shared.store.put(f"servers/{self.name}", encode_document(body))
+        self._record = encode_document(body)
+        self._shared.store.put(f"servers/{self.name}", self._record)
 
     def _receive(self) -> None:
         assert self._socket is not None
--- a/deploy/soak/injector.py
+++ b/deploy/soak/injector.py
@@ -3,6 +3,7 @@
 import signal
 from collections import Counter
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import TYPE_CHECKING
 
 import gevent
@@ -27,6 +28,13 @@
 """A draining backend server serves this long; flows last at most 5 s."""
 
 
+MAX_REWRITE_SECONDS = 2.0
+"""Longest time until the operator writes again what the store has lost."""
+
+LEASE_SECONDS = 3.6
+"""Time after which the record of a server that no longer writes is removed."""
+
+
 class Injector:
     """Executes the entries of a schedule.
 
@@ -173,6 +181,21 @@
         self._extend_fault_window(0.0)
         self._run.store.compact()
 
+    def _inject_store_restore(self, entry: ScheduleEntry) -> None:
+        """Let the store be away and return from a copy up to 10 s old."""
+        store = self._run.store
+        random = Random(entry.pick)
+        self._set_store_fault(entry, "is_down", True)
+        self._extend_fault_window(MAX_REWRITE_SECONDS)
+        store.restore(random.uniform(0.5, 10.0))
+        gevent.sleep(random.uniform(0.0, MAX_REWRITE_SECONDS))
+        self._run.write_configuration_again()
+        gevent.sleep(LEASE_SECONDS)
+        for key in list(store.items):
+            name = key.removeprefix("servers/")
+            if name != key and name not in self._run.shared.backend_servers:
+                store.delete(key)
+
     def _inject_store_revoke(self, entry: ScheduleEntry) -> None:
         self._run.store.revoke("stoattray/members/")
 
--- a/deploy/soak/run.py
+++ b/deploy/soak/run.py
@@ -19,7 +19,7 @@
 from gevent import socket
 from injector import Injector
 from monitor import InvariantMonitor
-from schedule import generate_schedule
+from schedule import generate_restores, generate_schedule
 from store import SimulatedStore, encode_document
 
 DATA_CENTRES = ("luzon-a", "luzon-b")
@@ -44,10 +44,18 @@
         Number of balancer processes.
     directory : Path
         Directory for settings and logs.
+    has_restores : bool
+        Whether the store also returns from older copies.
     """
 
     def __init__(
-        self, seed: int, seconds: float, n_balancers: int, directory: Path
+        self,
+        seed: int,
+        seconds: float,
+        n_balancers: int,
+        directory: Path,
+        *,
+        has_restores: bool,
     ) -> None:
         self._random = Random(seed)
         self._seconds = seconds
@@ -56,6 +64,9 @@
         self.store = SimulatedStore(self._random)
         self.shared = SharedState(self.store, self.monitor, self._random)
         self._schedule = generate_schedule(seed, seconds)
+        if has_restores:
+            self._schedule += generate_restores(seed, seconds)
+            self._schedule.sort()
         self._ports = Ports(7_101, 7_102, 7_103, 7_104, 7_105, 7_106)
         self.fleet = Fleet(self.monitor, self._create_balancers(n_balancers, directory))
         self._routers = Routers(self.fleet)
@@ -125,7 +136,10 @@
             store_server = self.store.create_server(self._store_address)
             store_server.start()
             stack.callback(store_server.stop, timeout=0)
-            tasks = [gevent.spawn(self.store.expire_leases)]
+            tasks = [
+                gevent.spawn(self.store.expire_leases),
+                gevent.spawn(self.store.take_copies),
+            ]
             for service, n_servers in N_SERVERS_BY_SERVICE.items():
                 self.declare_route(service)
                 for _ in range(n_servers):
@@ -241,7 +255,14 @@
             "services": [{"name": name} for name in N_SERVERS_BY_SERVICE],
             "limits": {"idle_timeout_ms": IDLE_TIMEOUT_MILLIS},
         }
-        self.store.put("op/config", encode_document(body))
+        self._configuration = encode_document(body)
+        self.store.put("op/config", self._configuration)
+
+    def write_configuration_again(self) -> None:
+        """Write the newest configuration again if the store has lost it."""
+        item = self.store.items.get("op/config")
+        if item is None or item.value != self._configuration:
+            self.store.put("op/config", self._configuration)
 
     def add_backend_server(
         self, service: str, address: tuple[str, int] | None = None
@@ -299,9 +320,11 @@
 
 
 def execute_run(
-    seed: int, seconds: float, n_balancers: int
+    seed: int, seconds: float, n_balancers: int, *, has_restores: bool = False
 ) -> tuple[dict[str, Any], Path]:
     """Execute one run; return its report and its log directory."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    report = Run(seed, seconds, n_balancers, directory).execute()
+    report = Run(
+        seed, seconds, n_balancers, directory, has_restores=has_restores
+    ).execute()
     return {"seed": seed, "seconds": seconds, **report}, directory
--- a/deploy/soak/schedule.py
+++ b/deploy/soak/schedule.py
@@ -60,6 +60,34 @@
 )
 
 
+RESTORE_INTERVAL_SECONDS = (0.5, 9.0)
+"""Bounds of the time between two returns of the store from an older copy."""
+
+
+def generate_restores(seed: int, seconds: float) -> list[ScheduleEntry]:
+    """Return returns of the store from an older copy, in chronological order.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    seconds : float
+        Length of the run.
+    """
+    random = Random(f"restores of {seed}")
+    entries = []
+    at = START_SECONDS
+    while at < seconds - RECOVERY_SECONDS:
+        down_seconds = round(random.uniform(0.2, 3.0), 2)
+        entries.append(
+            ScheduleEntry(
+                round(at, 2), "store_restore", down_seconds, random.getrandbits(30)
+            )
+        )
+        at += down_seconds + random.uniform(*RESTORE_INTERVAL_SECONDS)
+    return entries
+
+
 def generate_schedule(seed: int, seconds: float) -> list[ScheduleEntry]:
     """Return the entries of a run in chronological order.
 
--- a/deploy/soak/store.py
+++ b/deploy/soak/store.py
@@ -3,7 +3,7 @@
 import json
 import time
 from base64 import b64decode, b64encode
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -14,6 +14,11 @@
 from gevent.pywsgi import WSGIServer
 
 N_ITEMS_PER_PAGE = 50
+COPY_INTERVAL_SECONDS = 0.5
+N_COPIES = 20
+"""Interval and number of copies that the store keeps of itself: the last 10 s."""
+
+ERA_HEADER = "Store-Era"
 LATE_APPLY_SECONDS = 1.0
 
 
@@ -45,6 +50,31 @@
     expires_at: float
 
 
+@dataclass
+class StoreCopy:
+    """Content of the store at one time."""
+
+    taken_at: float
+    revision: int
+    compacted_revision: int
+    items: dict[str, Item]
+    history: list[tuple[int, str, Item | None]]
+    leases: dict[int, int]
+
+
+class _EraMiddleware:
+    """Adds the store's era to each answer."""
+
+    def __init__(self, store: "SimulatedStore") -> None:
+        self._store = store
+
+    def process_response(self, request, response, resource, req_succeeded) -> None:
+        """Set the header, unless the store never returned from a copy."""
+        era = response.context.get("era", self._store.era)
+        if era:
+            response.set_header(ERA_HEADER, str(era))
+
+
 @dataclass
 class SimulatedStore:
     """Keys, history and leases, with the HTTP handlers."""
@@ -58,6 +88,8 @@
     compacted_revision: int = 0
     calls: Counter = field(default_factory=Counter)
     change_event: Event = field(default_factory=Event)
+    era: int = 0
+    copies: deque[StoreCopy] = field(default_factory=lambda: deque(maxlen=N_COPIES))
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write one key and return the new revision."""
@@ -87,6 +119,36 @@
             self.leases.pop(self.items[key].lease, None)
             self.delete(key)
 
+    def take_copies(self) -> None:
+        """Take a copy at regular intervals; never returns."""
+        while True:
+            self.copies.append(
+                StoreCopy(
+                    time.monotonic(),
+                    self.revision,
+                    self.compacted_revision,
+                    dict(self.items),
+                    list(self.history),
+                    {number: lease.ttl_ms for number, lease in self.leases.items()},
+                )
+            )
+            gevent.sleep(COPY_INTERVAL_SECONDS)
+
+    def restore(self, age_seconds: float) -> None:
+        """Return from the copy whose age is closest to `age_seconds`, in a new era."""
+        taken_at = time.monotonic() - age_seconds
+        copy = min(self.copies, key=lambda copy: abs(copy.taken_at - taken_at))
+        self.era += 1
+        self.revision = copy.revision
+        self.compacted_revision = copy.compacted_revision
+        self.items, self.history = dict(copy.items), list(copy.history)
+        now = time.monotonic()
+        self.leases = {
+            number: Lease(ttl_ms, now + ttl_ms / 1_000)
+            for number, ttl_ms in copy.leases.items()
+        }
+        self._notify_watchers()
+
     def expire_leases(self) -> None:
         """Expire leases, also while the store is down; never returns."""
         while True:
@@ -102,7 +164,7 @@
 
     def create_server(self, address: tuple[str, int]) -> WSGIServer:
         """Return the HTTP server, not yet started."""
-        app = falcon.App()
+        app = falcon.App(middleware=_EraMiddleware(self))
         for path in ("kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease"):
             app.add_route(f"/api/{path}", self, suffix=path.replace("-", "_"))
         app.add_route("/api/kv-keep/{number:int}", self, suffix="keep")
@@ -141,7 +203,7 @@
         after = request.get_param_as_int("after", required=True)
         deadline = time.monotonic() + request.get_param_as_int("wait_ms") / 1_000
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 raise falcon.HTTPGone
             if self.faults.is_down:
                 raise falcon.HTTPServiceUnavailable
@@ -158,6 +220,7 @@
         """Change several keys atomically."""
         self._start_call("txn")
         body = request.media
+        response.context["era"] = self.era
         if self.random.random() < self.faults.lost_response_share:
             if self.random.random() < 0.5:
                 gevent.spawn_later(LATE_APPLY_SECONDS, self._apply_transaction, body)
