proofs: a store that returns from an older copy

Each of five defects fails one: revisions compared without eras, a late answer of the old era, a peer of the old era, a configuration of a lower version, a server dropped at once.

--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from proofs import bucket_moves, configuration, recovery
+from proofs import bucket_moves, configuration, recovery, restored_store
 from proofs.checker import check
 
 
@@ -73,3 +73,27 @@
             with self.subTest(defect):
                 result = check(recovery.Recovery(defect), recovery.FORMULAS)
                 self.assertIn(formula, result.failed)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """A store that returns from an older copy in a new era."""
+
+    def test_holds(self):
+        result = check(restored_store.RestoredStore(), restored_store.FORMULAS)
+        self.assertEqual(result.failed, ())
+        self.assertGreater(result.n_states, 1_000)
+
+    def test_defects_are_detected(self):
+        defects = restored_store.Defect
+        expected = {
+            defects.REVISION_WITHOUT_ERA: "A(G(E(F(converged))))",
+            defects.ACCEPTS_LATE_ANSWER: "A(G(not replica_reverted))",
+            defects.ACCEPTS_OLDER_PEER: "A(G(not replica_reverted))",
+            defects.APPLIES_COPIED_CONFIGURATION: "A(G(not reverted))",
+            defects.DROPS_AT_ONCE: "A(G(not dropped))",
+        }
+        for defect, formula in expected.items():
+            with self.subTest(defect):
+                model = restored_store.RestoredStore(defect)
+                result = check(model, restored_store.FORMULAS)
+                self.assertIn(formula, result.failed)
