--- a/deploy/tests/test_process.py
+++ b/deploy/tests/test_process.py
@@ -12,7 +12,9 @@
 from pathlib import Path
 
 PROGRAM = Path(__file__).parents[2] / "platform/src/stoattray_platform/__main__.py"
-HOST = "127.9.0.1"
+HOST = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1"
+"""Differs between runs of the tests on one machine, as the ports are fixed."""
+
 SETTINGS = {
     "member": "edge-1",
     "data_centre": "luzon-a",
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -291,7 +291,8 @@
     def _add(self, entry: BackendServerEntry, before: ServerRow | None) -> ServerRow:
         if before is not None:
             self._service_rows(before.entry).remove(before)
-        self._cookies.add(entry.name, entry.started_at)
+        sharing = self._cookies.add(entry.name, entry.started_at)
+        self._update_cookies(sharing)
         row = ServerRow(entry, self._cookies.cookie(entry.name))
         self._rows[entry.name] = row
         self._removed.pop(entry.name, None)
@@ -304,7 +305,11 @@
         del self._rows[row.name]
         self._removed[row.name] = row
         self._service_rows(row.entry).remove(row)
-        self._cookies.remove(row.name, now)
+        self._update_cookies(self._cookies.remove(row.name, now))
+
+    def _update_cookies(self, names: list[str]) -> None:
+        for name in names:
+            self._rows[name].cookie = self._cookies.cookie(name)
 
     def _service_rows(self, entry: BackendServerEntry) -> list[ServerRow]:
         """Return the list for the service of `entry`, local or remote."""
--- a/packages/stoattray-core/src/stoattray_core/steering/silence_detector.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/silence_detector.py
@@ -76,7 +76,7 @@
     def note_follow_up(
         self, server: ServerRow, waited_millis: Millis | None, now: Millis
     ) -> bool:
-        """Note a follow-up; return whether the server was suspect.
+        """Note a follow-up; return whether the server was suspect for its silence.
 
         Parameters
         ----------
@@ -94,11 +94,11 @@
             ) * SMOOTHING_FACTOR
         self._n_silent_servers[server.entry.data_centre] = 0
         self._cut_off_until.pop(server.entry.data_centre, None)
-        was_suspect = server.is_suspect(now)
+        was_silent = now < server.suspect_until
         server.n_silent = 0
         server.suspect_until = 0
         server.last_established_at = now
-        return was_suspect
+        return was_silent
 
     def note_silence(self, server: ServerRow, sent_at: Millis, now: Millis) -> bool:
         """Note an overdue opening; return whether the server is newly suspect."""
--- a/tests/core/steering/test_cookies.py
+++ b/tests/core/steering/test_cookies.py
@@ -62,6 +62,42 @@
             self.table.add("young", 2)
             self.assertEqual(self.table.resolve(self.table.cookie("young")), "young")
 
+    def test_live_server_takes_precedence_over_a_removed_one_with_an_earlier_start(
+        self,
+    ):
+        with patch.object(cookies, "xxh32_intdigest", lambda name, seed: seed + 5):
+            self.table.add("young", 2)
+            self.table.add("old", 1)
+            self.table.remove("old", now=0)
+            self.assertEqual(self.table.cookie("young"), 5)
+            self.assertEqual(self.table.resolve(5), "young")
+
+    def test_servers_whose_cookies_may_change_are_returned(self):
+        with patch.object(cookies, "xxh32_intdigest", lambda name, seed: seed + 5):
+            self.assertEqual(self.table.add("young", 2), [])
+            self.assertEqual(set(self.table.add("old", 1)), {"young"})
+            self.assertEqual(set(self.table.remove("old", now=0)), {"young"})
+
+    def test_history_does_not_matter(self):
+        """Balancers that did or did not know a removed server agree on the others."""
+
+        def colliding_digest(name, seed):
+            return 7 if seed == 0 else hash((name, seed)) & 0xFFFFFFFF
+
+        with patch.object(cookies, "xxh32_intdigest", colliding_digest):
+            starting = CookieTable(RETENTION_MILLIS)
+            self.table.add("old", 1)
+            self.table.add("young", 2)
+            second = self.table.cookie("young")
+            self.table.remove("old", now=0)
+            starting.add("young", 2)
+            for now in (0, 2 * RETENTION_MILLIS):
+                self.table.expire(now)
+                self.assertEqual(self.table.cookie("young"), starting.cookie("young"))
+                for cookie in (7, second):
+                    self.assertEqual(self.table.resolve(cookie), "young")
+                    self.assertEqual(starting.resolve(cookie), "young")
+
     def test_unknown_cookie(self):
         self.assertIsNone(self.table.resolve(99))
 
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -1,9 +1,11 @@
 """Packet routing of one balancer: flow affinity, refusals, retries and updates."""
 
 import unittest
+from unittest.mock import patch
 
 from stoattray_core._errors import ERROR_RESPONSES, ErrorKind, PacketResponse
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering import cookies
 from stoattray_core.steering.entries import RequestKind, Route
 from stoattray_core.steering.replica import Difference
 from stoattray_core.steering.steering import MAX_SERVERS_TRIED
@@ -384,3 +386,19 @@
         self.assertEqual(balancer.steering.pending_requests(), {})
         balancer.follow(40_000, server)
         self.assertEqual(server.n_pending_requests, 0)
+
+    def test_server_that_shares_a_cookie_gets_it_once_the_other_is_removed(self):
+        with patch.object(cookies, "xxh32_intdigest", lambda name, seed: seed + 5):
+            balancer = balancer_with("i-01", "i-02")
+            rows = {row.name: row for row in balancer.steering.servers}
+            self.assertEqual([rows["i-01"].cookie, rows["i-02"].cookie], [5, 6])
+            balancer.remove("i-01")
+            self.assertEqual(rows["i-02"].cookie, 5)
+
+    def test_server_that_only_counts_as_failing_is_not_reported_to_answer(self):
+        balancer = balancer_with("i-01")
+        [server] = balancer.steering.servers
+        server.failing_until = balancer.now + 10_000
+        for port in range(10):
+            balancer.follow(port, balancer.open(port))
+        self.assertNotIn("backend_server_answers", balancer.recorder.names())
