--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -218,12 +218,14 @@
                 MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
             )
             return _check_queue(server, target, max_per_slot, now)
-        n_requests_per_slot = (server.n_certain_requests + 1) / server.capacity(now)
-        if n_requests_per_slot <= MAX_UNREFUSED_PER_SLOT:
+        capacity = server.capacity(now)
+        n_reported = server.n_pending_requests + server.n_peer_requests + 1
+        if n_reported <= MAX_UNREFUSED_PER_SLOT * capacity:
             return None
         expected = None
         if service_time is not None:
-            expected = n_requests_per_slot * service_time * server.slowdown
+            n_certain = server.n_certain_requests + 1
+            expected = n_certain * service_time * server.slowdown / capacity
         ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
         is_late = expected is not None and expected > ratio * target
         if not is_late and self._random.random() >= controller.probability:
