--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -9,6 +9,8 @@
 1. A configuration of a lower version is not applied.
 2. A server's entry is not applied if a later one is known, or the server's removal.
 3. A server that the copy lacks counts as lapsed, not as removed.
+4. A destination without a route may have one. A process that starts in a later era does
+   not know when the store returned, so this holds after its first read, too.
 """
 
 from stoattray_core._identifiers import Millis
@@ -62,6 +64,7 @@
         self._on_event = on_event
         self._configuration: Configuration | None = None
         self._confirmed_at: Millis | None = None
+        self._restored_until: Millis = 0
 
     @property
     def configuration(self) -> Configuration | None:
@@ -72,6 +75,10 @@
         """Return how long ago the replica was confirmed complete; `now` if never."""
         return now if self._confirmed_at is None else now - self._confirmed_at
 
+    def may_lack_writes(self, now: Millis) -> bool:
+        """Return whether the store may have lost writes that are not repeated yet."""
+        return now < self._restored_until
+
     def confirm_replica(self, at: Millis) -> None:
         """Note that the replica was complete at a time."""
         if self._confirmed_at is None or at > self._confirmed_at:
@@ -87,7 +94,10 @@
         before = self.replica.version
         is_first = before.revision == 0
         changed = self.replica.merge(difference)
-        is_restored = not is_first and self.replica.version.era > before.era
+        is_later_era = self.replica.version.era > before.era
+        if is_later_era:
+            self._restored_until = now + REREGISTRATION_MILLIS
+        is_restored = is_later_era and not is_first
         if is_restored:
             self._note_restored(before, now)
         for record in changed:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -319,7 +319,8 @@
         route = self.configuration.routes.get(destination)
         if route is None:
             is_fresh = self.confirmed_age(now) <= FRESH_REPLICA_MILLIS
-            return NO_ROUTE if is_fresh else STALE_REPLICA
+            is_complete = not self.cluster_state.may_lack_writes(now)
+            return NO_ROUTE if is_fresh and is_complete else STALE_REPLICA
         service = draw_service(route, self._random)
         rows = self.servers.candidates(service, self._random)
         server = self._selector.select(rows, now, avoid=avoid)
--- a/tests/core/steering/test_restored_store.py
+++ b/tests/core/steering/test_restored_store.py
@@ -8,10 +8,12 @@
 from hypothesis import strategies as st
 
 from stoattray_balancer.steering.store_reader import StoreReader
+from stoattray_core._errors import ErrorKind
 from stoattray_core.steering.replica import Version
 from stoattray_core.steering.servers import REREGISTRATION_MILLIS, Presence
 from tests.restorable_store import RestorableStore, exchange
 from tests.steering_builders import (
+    UNKNOWN_DESTINATION,
     Balancer,
     EntryDecoder,
     configuration,
@@ -228,13 +230,30 @@
         )
         self.assertEqual(self.steering.cluster_state.n_restored, 1)
 
+    def test_unknown_destination_is_not_reset_until_writes_are_repeated(self):
+        self.restore()
+        self.fleet.read()
+        destination = {"destination": UNKNOWN_DESTINATION}
+        self.assertEqual(
+            self.balancer.open(1, **destination).kind, ErrorKind.UNKNOWN_ADDRESS
+        )
+        self.advance(REREGISTRATION_MILLIS)
+        self.steering.confirm_replica(self.balancer.now)
+        self.assertEqual(self.balancer.open(2, **destination).kind, ErrorKind.NO_ROUTE)
+
+    def test_start_in_a_later_era_resets_no_unknown_destination_at_first(self):
+        self.store.restore()
+        starting = Balancer("edge-9", decoder=self.fleet.decoder)
+        self.fleet.new_reader(starting)._read_once()
+        destination = {"destination": UNKNOWN_DESTINATION}
+        self.assertEqual(
+            starting.open(1, **destination).kind, ErrorKind.UNKNOWN_ADDRESS
+        )
+
     def test_first_read_in_a_later_era_is_no_return(self):
         self.store.restore()
-        fleet = Fleet()
-        fleet.store = self.store
-        fleet.decoder = self.fleet.decoder
         starting = Balancer("edge-9", decoder=self.fleet.decoder)
-        fleet.new_reader(starting)._read_once()
+        self.fleet.new_reader(starting)._read_once()
         self.assertEqual(starting.steering.replica.version.era, 1)
         self.assertNotIn("store_restored", starting.recorder.names())
 
