--- a/deploy/tests/test_record_decoder.py
+++ b/deploy/tests/test_record_decoder.py
@@ -49,6 +49,7 @@
                 is_draining=True,
                 warmup_remaining_millis=0,
                 started_at=1_770_000_000_000,
+                sequence=4,
             ),
         )
 
@@ -57,6 +58,8 @@
             {"capacity": "2"},
             {"capacity": True},
             {"capacity": -1},
+            {"sequence": "1"},
+            {"sequence": -1},
             {"state": "resting"},
             {"state": None},
             {"service": 5},
