--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -24,9 +24,6 @@
 """Pause after a watch with changes, so that the next response carries many. Including
 the response, drains and configuration arrive within half of their bound of 3 s."""
 
-FIRST_READ_CHECK_SECONDS = 0.02
-"""Time between checks of whether a peer's snapshot arrived before the store's."""
-
 READER_CHECK_SECONDS = 0.2
 """Time between checks of whether a balancer that pulls from peers has to read."""
 
@@ -131,11 +128,7 @@
         """Make one call and return the pause after it in seconds."""
         started_at = self._clock()
         revision = self._steering.replica.revision
-        if revision == 0:
-            response = self._read_first()
-            if response is None:
-                return 0.0
-        elif self._must_read_all:
+        if revision == 0 or self._must_read_all:
             response = self._client.read_all()
         else:
             response = self._client.watch(revision, WATCH_WAIT_MILLIS)
@@ -152,20 +145,6 @@
         self._handle_response(response, started_at)
         return BATCH_SECONDS if response.records else 0.0
 
-    def _read_first(self) -> Difference | Refused | None:
-        """Read all records; return None if a peer's snapshot arrives first.
-
-        Snapshots of peers are compressed. On a slow link the store's answer would delay
-        the next steps of the start.
-        """
-        reading = gevent.spawn(self._client.read_all)
-        while not reading.ready():
-            reading.join(FIRST_READ_CHECK_SECONDS)
-            if self._steering.replica.revision > 0:
-                reading.kill()
-                return None
-        return reading.get()
-
     def _handle_other_era(self, response: Difference) -> float | None:
         """Return the pause before the next call, or None if the response applies.
 
