core: split the placement of new flows out of steering

Change: FlowPlacement holds the route, the draw of a service, the selection and the admission of a new flow; Steering keeps flows, retries and updates. Behaviour is the same.

--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -0,0 +1,103 @@
+"""Placement of a new flow: its route, a service, a backend server, and admission."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+from stoattray_core._errors import ErrorKind
+from stoattray_core._identifiers import Millis
+from stoattray_core._sentinel import Refused
+from stoattray_core.steering.admission import AdmissionControl, Overload
+from stoattray_core.steering.cluster_state import ClusterState
+from stoattray_core.steering.server_selector import ServerSelector, draw_service
+from stoattray_core.steering.servers import ServerRow
+
+FRESH_REPLICA_MILLIS = 2_000
+"""A replica confirmed within this time is recent enough to reset openings to unknown
+destinations."""
+
+NO_ROUTE = Refused(ErrorKind.NO_ROUTE)
+NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
+STALE_REPLICA = Refused(ErrorKind.UNKNOWN_ADDRESS)
+
+
+class FlowPlacement:
+    """Selects the backend server that an opening packet is forwarded to.
+
+    Parameters
+    ----------
+    cluster_state : ClusterState
+        Configuration and backend servers.
+    selector : ServerSelector
+        Selects the best server of a service.
+    admission : AdmissionControl
+        Decides whether an opening is refused for overload.
+    service_time : callable
+        Returns a service's time in ms without the round trip, or None if unknown.
+    counters : Counter
+        Counts the openings that are deferred or refused for overload.
+    random : Random
+        Draws a service by weight.
+    """
+
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        selector: ServerSelector,
+        admission: AdmissionControl,
+        *,
+        service_time: Callable[[str], float | None],
+        counters: Counter[str],
+        random: Random,
+    ) -> None:
+        self._cluster_state = cluster_state
+        self._selector = selector
+        self._admission = admission
+        self._service_time = service_time
+        self._counters = counters
+        self._random = random
+
+    def select(
+        self,
+        destination: bytes,
+        now: Millis,
+        avoid: list[ServerRow],
+        *,
+        is_retransmission: bool = False,
+    ) -> ServerRow | Overload | Refused:
+        """Return the server for a new flow, or why there is none.
+
+        Parameters
+        ----------
+        destination : bytes
+            Destination of the opening packet.
+        now : Millis
+            Current time.
+        avoid : list of ServerRow
+            Servers that left this flow unanswered.
+        is_retransmission : bool
+            Whether the caller has sent the opening before.
+        """
+        assert self._cluster_state.configuration is not None
+        route = self._cluster_state.configuration.routes.get(destination)
+        if route is None:
+            is_fresh = self._cluster_state.confirmed_age(now) <= FRESH_REPLICA_MILLIS
+            is_complete = not self._cluster_state.may_lack_writes(now)
+            return NO_ROUTE if is_fresh and is_complete else STALE_REPLICA
+        service = draw_service(route, self._random)
+        rows = self._cluster_state.servers.candidates(service, self._random)
+        server = self._selector.select(rows, now, avoid=avoid)
+        if server is None:
+            return NO_BACKEND_SERVER
+        overload = self._admission.check(
+            server,
+            route,
+            self._service_time(service),
+            now,
+            is_retransmission=is_retransmission,
+        )
+        if overload is not None:
+            name = "deferred" if overload.is_deferred else "overloaded"
+            self._counters[f"openings_{name}"] += 1
+            return overload
+        return server
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -21,6 +21,7 @@
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.entries import Configuration, MemberEntry
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
+from stoattray_core.steering.flow_placement import FlowPlacement
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
@@ -30,7 +31,7 @@
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
 from stoattray_core.steering.replica import Difference, Replica
 from stoattray_core.steering.response_monitor import ResponseMonitor
-from stoattray_core.steering.server_selector import ServerSelector, draw_service
+from stoattray_core.steering.server_selector import ServerSelector
 from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.silence_detector import SilenceDetector
 from stoattray_core.steering.store_health import StoreHealth
@@ -60,17 +61,10 @@
 """Target latencies for which a request counts as pending. Admission control keeps
 responses faster, so an older one was most likely answered unseen."""
 
-FRESH_REPLICA_MILLIS = 2_000
-"""A replica confirmed within this time is recent enough to reset openings to unknown
-destinations."""
-
-NO_ROUTE = Refused(ErrorKind.NO_ROUTE)
-NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
 OVERLOADED = Refused(ErrorKind.OVERLOADED)
 DEFERRED = Refused(ErrorKind.DEFERRED)
 NOT_READY = Refused(ErrorKind.NOT_READY)
 UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
-STALE_REPLICA = Refused(ErrorKind.UNKNOWN_ADDRESS)
 POSSIBLY_OPEN = Refused(ErrorKind.NO_OWNER)
 HELD_TOO_LONG = Refused(ErrorKind.HELD_TOO_LONG)
 
@@ -111,7 +105,6 @@
         self._random = random
         self._on_event = on_event
         self._silence_detector = SilenceDetector(own.data_centre)
-        self._selector = ServerSelector(own.data_centre, self._silence_detector, random)
         self._flows = FlowTable()
         self._failure_detector = FastFailureDetector()
         self._admission = AdmissionControl(random)
@@ -122,6 +115,14 @@
             self._admission,
             on_event,
         )
+        self._placement = FlowPlacement(
+            self.cluster_state,
+            ServerSelector(own.data_centre, self._silence_detector, random),
+            self._admission,
+            service_time=self._service_time,
+            counters=self.counters,
+            random=random,
+        )
         self._peer_reports = PeerReports(self.servers, self._failure_detector)
         self._last_tick_at: Millis | None = None
         self._detect_silence_from: Millis = 0
@@ -285,7 +286,7 @@
         if now < self._drop_openings_until:
             return HELD_TOO_LONG
         avoid = flow.tried_servers if flow is not None else []
-        server = self._select_server(
+        server = self._placement.select(
             packet.destination,
             now,
             avoid,
@@ -307,38 +308,6 @@
             flow.last_packet_at = now
         return server
 
-    def _select_server(
-        self,
-        destination: bytes,
-        now: Millis,
-        avoid: list[ServerRow],
-        *,
-        is_retransmission: bool = False,
-    ) -> ServerRow | Overload | Refused:
-        assert self.configuration is not None
-        route = self.configuration.routes.get(destination)
-        if route is None:
-            is_fresh = self.confirmed_age(now) <= FRESH_REPLICA_MILLIS
-            is_complete = not self.cluster_state.may_lack_writes(now)
-            return NO_ROUTE if is_fresh and is_complete else STALE_REPLICA
-        service = draw_service(route, self._random)
-        rows = self.servers.candidates(service, self._random)
-        server = self._selector.select(rows, now, avoid=avoid)
-        if server is None:
-            return NO_BACKEND_SERVER
-        overload = self._admission.check(
-            server,
-            route,
-            self._service_time(service),
-            now,
-            is_retransmission=is_retransmission,
-        )
-        if overload is not None:
-            name = "deferred" if overload.is_deferred else "overloaded"
-            self.counters[f"openings_{name}"] += 1
-            return overload
-        return server
-
     def _service_time(self, service: str) -> float | None:
         """Return a service's time in ms without the round trip, or None if unknown."""
         millis = self._response_monitor.service_time(service)
@@ -448,7 +417,7 @@
             )
         if len(flow.tried_servers) >= MAX_SERVERS_TRIED or flow.opening is None:
             return None
-        server = self._select_server(flow.destination, now, flow.tried_servers)
+        server = self._placement.select(flow.destination, now, flow.tried_servers)
         if not isinstance(server, ServerRow) or server in flow.tried_servers:
             return None
         self.counters["openings_tried_again"] += 1
