--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -18,7 +18,6 @@
 from stoattray_balancer.steering.event_log import EventLog
 from stoattray_balancer.steering.packet_forwarder import HeaderCodec, PacketForwarder
 from stoattray_balancer.steering.peers import Peers
-from stoattray_balancer.steering.process_metrics import format_metrics
 from stoattray_balancer.steering.settings import (
     FIXED_AT_START,
     SteeringSettings,
@@ -195,6 +194,9 @@
             is_ready = self._steering.is_ready and not self._is_reported_unready
             return (200, "ready\n") if is_ready else (503, "not ready\n")
         if path == METRICS_PATH:
+            # Imported here, as it is not needed before the first packet.
+            from stoattray_balancer.steering.process_metrics import format_metrics
+
             text = format_metrics(
                 self._steering, self._forwarder, self._store_reader, boot_millis()
             )
