--- a/deploy/tests/test_imports.py
+++ b/deploy/tests/test_imports.py
@@ -1,7 +1,7 @@
 """Modules that a balancer imports before its first packet.
 
-All balancers may lose power at once. On a VM with a sixth of a core, each millisecond of
-imports then delays the first packet by six.
+All balancers may lose power at once. On a VM with a sixth of a core, each millisecond
+of imports then delays the first packet by six.
 """
 
 import subprocess
@@ -20,6 +20,8 @@
 
 
 class ImportTest(unittest.TestCase):
+    """The start stays lean."""
+
     def test_start_imports_nothing_that_it_does_not_need(self):
         """Guards against a start that becomes slower by an import nobody notices."""
         program = "import sys, stoattray_platform.program; print(*sys.modules)"
