core: evacuation of a data centre, from the record to the candidates

Cause: operators need to empty a data centre for maintenance. Without it openings keep going there until the servers themselves drain. A repeated opening of an open flow there is dropped, not forwarded. Event evacuation, counters and a gauge.

--- a/deploy/datapath.py
+++ b/deploy/datapath.py
@@ -50,6 +50,9 @@
     def backend_server_name(self, key: str) -> None:
         return None
 
+    def evacuated_data_centre(self, key: str) -> None:
+        return None
+
 
 def main() -> None:
     """Measure each kind of packet and print the results."""
--- a/deploy/tests/test_record_decoder.py
+++ b/deploy/tests/test_record_decoder.py
@@ -17,6 +17,7 @@
 from stoattray_core.steering.entries import (
     BackendServerEntry,
     Configuration,
+    Evacuation,
     RequestKind,
 )
 from stoattray_core.steering.replica import Record
@@ -143,3 +144,36 @@
     def test_arbitrary_value_in_a_field_is_decoded_or_refused(self, value, name):
         entry = self.decoder.decode(build_configuration_record(**{name: value}))
         self.assertIsInstance(entry, Configuration | Refused)
+
+
+class EvacuationRecordTest(unittest.TestCase):
+    """Keys by which operators evacuate a data centre."""
+
+    def setUp(self):
+        self.decoder = PlatformRecordDecoder()
+
+    @given(st.binary())
+    def test_value_is_not_read(self, value):
+        """Guards against an evacuation that is ignored because of its value."""
+        record = Record("op/evacuate/luzon-a", 3, value)
+        self.assertEqual(self.decoder.decode(record), Evacuation("luzon-a"))
+
+    def test_key_without_a_data_centre_is_malformed(self):
+        """Guards against an evacuation that is ignored without a log line."""
+        entry = self.decoder.decode(Record("op/evacuate/", 3, b"{}"))
+        self.assertEqual(entry.kind, ErrorKind.ENTRY_MALFORMED)
+        self.assertIsNone(self.decoder.evacuated_data_centre("op/evacuate/"))
+
+    def test_data_centre_of_a_key(self):
+        """Guards against removals that do not end the evacuation."""
+        names = {
+            key: self.decoder.evacuated_data_centre(key)
+            for key in ("op/evacuate/luzon-a", "op/config", "servers/i-1", "op/evacuat")
+        }
+        self.assertEqual(names.pop("op/evacuate/luzon-a"), "luzon-a")
+        self.assertEqual(set(names.values()), {None})
+        self.assertIsNone(self.decoder.backend_server_name("op/evacuate/luzon-a"))
+
+    def test_configuration_and_other_operator_keys_are_no_evacuation(self):
+        """Guards against a prefix that takes further keys of operators."""
+        self.assertIsNone(self.decoder.decode(Record("op/evacuated", 1, b"{}")))
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -56,6 +56,14 @@
     yield from format_gauge(
         "stoattray_store_restored_total", steering.cluster_state.n_restored
     )
+    yield from format_gauge(
+        "stoattray_evacuated_data_centres", len(steering.cluster_state.evacuations)
+    )
+    yield from format_counter(
+        "stoattray_evacuation_changes",
+        "state",
+        steering.cluster_state.evacuation_changes,
+    )
     version = steering.configuration.version if steering.configuration else None
     yield from format_gauge("stoattray_configuration_version", version)
     yield from format_gauge("stoattray_copy_age_ms", steering.confirmed_age(now))
--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -9,10 +9,14 @@
 1. A configuration of a lower version is not applied.
 2. A server's entry is not applied if a later one is known, or the server's removal.
 3. A server that the copy lacks counts as lapsed, not as removed.
-4. A destination without a route may have one. A process that starts in a later era does
+4. An evacuation that has ended is not restored, and one that the copy lacks is kept for
+   a while (`evacuations.py`).
+5. A destination without a route may have one. A process that starts in a later era does
    not know when the store returned, so this holds after its first read, too.
 """
 
+from collections import Counter
+
 from stoattray_core._identifiers import Millis
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import (
@@ -20,6 +24,7 @@
     Configuration,
     MemberEntry,
 )
+from stoattray_core.steering.evacuations import EvacuationChange, Evacuations
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
 from stoattray_core.steering.replica import Difference, Record, Replica, Version
@@ -40,6 +45,8 @@
         Backend servers.
     members : MemberTable
         Other balancers.
+    evacuations : Evacuations
+        Evacuated data centres.
     decoder : RecordDecoder
         Decodes records.
     on_event : EventSink
@@ -50,16 +57,19 @@
         self,
         servers: ServerTable,
         members: MemberTable,
+        evacuations: Evacuations,
         *,
         decoder: RecordDecoder,
         on_event: EventSink,
     ) -> None:
         self.servers = servers
         self.members = members
+        self.evacuations = evacuations
         self.replica = Replica()
         self.store_health = StoreHealth(REREGISTRATION_MILLIS)
         self.n_malformed = 0
         self.n_restored = 0
+        self.evacuation_changes: Counter[str] = Counter()
         self._decoder = decoder
         self._on_event = on_event
         self._configuration: Configuration | None = None
@@ -104,6 +114,7 @@
             self._apply_record(
                 record, now, logs_change=not is_first, is_from_copy=is_restored
             )
+        self._apply_evacuations(difference, changed, now, is_restored=is_restored)
         if is_first and changed:
             self._on_event(
                 "copy_taken",
@@ -120,6 +131,10 @@
         for name in self.servers.remove_lapsed(now):
             self._on_event("backend_server_gone", server=name, reason="lapsed")
 
+    def end_kept_evacuations(self, now: Millis) -> None:
+        """End evacuations that a returned store still lacks after the longest time."""
+        self._log_evacuations(self.evacuations.expire(now), now)
+
     def _note_restored(self, before: Version, now: Millis) -> None:
         self.n_restored += 1
         self.store_health.note_restored(now)
@@ -198,6 +213,74 @@
                 warmup_ms=entry.warmup_remaining_millis,
             )
 
+    def _apply_evacuations(
+        self,
+        difference: Difference,
+        changed: list[Record],
+        now: Millis,
+        *,
+        is_restored: bool,
+    ) -> None:
+        """Apply the records of evacuations, after those of servers.
+
+        Parameters
+        ----------
+        difference : Difference
+            What the store or a peer sent.
+        changed : list of Record
+            Records that differ from those held before.
+        now : Millis
+            Current time.
+        is_restored : bool
+            Whether this is the first snapshot of a new era.
+        """
+        if is_restored:
+            changes = self._restored_evacuations(difference, now)
+        else:
+            records = list(changed)
+            if self.evacuations.has_kept and difference.era == self.replica.version.era:
+                # A peer sends the removal of a record that this replica never held.
+                records += [item for item in difference.records if item.value is None]
+            found = [self._apply_evacuation(record, now) for record in records]
+            changes = [change for change in found if change is not None]
+        self._log_evacuations(changes, now)
+
+    def _restored_evacuations(
+        self, snapshot: Difference, now: Millis
+    ) -> list[EvacuationChange]:
+        records = {}
+        for record in snapshot.records:
+            data_centre = self._decoder.evacuated_data_centre(record.key)
+            if data_centre is not None:
+                records[data_centre] = record
+        revisions = {name: record.revision for name, record in records.items()}
+        changes = self.evacuations.restore(revisions, snapshot.revision, now)
+        for data_centre, record in records.items():
+            if not self.evacuations.is_evacuated(data_centre):
+                self._on_event("record_outdated", key=record.key)
+        return changes
+
+    def _apply_evacuation(self, record: Record, now: Millis) -> EvacuationChange | None:
+        data_centre = self._decoder.evacuated_data_centre(record.key)
+        if data_centre is None:
+            return None
+        if record.value is None:
+            return self.evacuations.end(data_centre, record.revision, now)
+        return self.evacuations.begin(data_centre, record.revision)
+
+    def _log_evacuations(self, changes: list[EvacuationChange], now: Millis) -> None:
+        for data_centre, state, revision in changes:
+            self.evacuation_changes[state.value] += 1
+            self._on_event(
+                "evacuation",
+                data_centre=data_centre,
+                state=state.value,
+                era=self.replica.version.era,
+                revision=revision,
+                age_ms=self.confirmed_age(now),
+                n_servers=self.servers.n_in_data_centre(data_centre),
+            )
+
     def _apply_removal(self, record: Record, now: Millis) -> None:
         name = self._decoder.backend_server_name(record.key)
         if name is None:
--- a/packages/stoattray-core/src/stoattray_core/steering/entries.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/entries.py
@@ -122,4 +122,16 @@
     incarnation: int
 
 
-Entry = Configuration | BackendServerEntry | MemberEntry
+class Evacuation(NamedTuple):
+    """Request of operators that servers of a data centre get no new flows.
+
+    Parameters
+    ----------
+    data_centre : str
+        The data centre.
+    """
+
+    data_centre: str
+
+
+Entry = Configuration | BackendServerEntry | MemberEntry | Evacuation
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -35,7 +35,8 @@
     service_time : callable
         Returns a service's time in ms without the round trip, or None if unknown.
     counters : Counter
-        Counts the openings that are deferred or refused for overload.
+        Counts the openings that are deferred, refused for overload, or without a server
+        because of an evacuation.
     random : Random
         Draws a service by weight.
     """
@@ -88,6 +89,8 @@
         rows = self._cluster_state.servers.candidates(service, self._random)
         server = self._selector.select(rows, now, avoid=avoid)
         if server is None:
+            if self._cluster_state.servers.has_evacuated(service):
+                self._counters["openings_evacuated"] += 1
             return NO_BACKEND_SERVER
         overload = self._admission.check(
             server,
--- a/packages/stoattray-core/src/stoattray_core/steering/protocols.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/protocols.py
@@ -16,6 +16,9 @@
     def backend_server_name(self, key: str) -> str | None:
         """Return the name of the server whose record has this key, or None."""
 
+    def evacuated_data_centre(self, key: str) -> str | None:
+        """Return the data centre whose evacuation has this key, or None."""
+
 
 class EventSink(Protocol):
     """Receives events for operators."""
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -13,6 +13,7 @@
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.cookies import CookieTable
 from stoattray_core.steering.entries import BackendServerEntry
+from stoattray_core.steering.evacuations import Evacuations
 
 REREGISTRATION_MILLIS = 2_600
 """Live servers register again within about 2 s after the store recovers."""
@@ -170,10 +171,18 @@
         How long the cookie of a removed server stays valid.
     data_centre : str
         Data centre of this balancer.
+    evacuations : Evacuations or None
+        Data centres whose servers are no candidates; none by default.
     """
 
-    def __init__(self, cookie_retention_millis: Millis, data_centre: str) -> None:
+    def __init__(
+        self,
+        cookie_retention_millis: Millis,
+        data_centre: str,
+        evacuations: Evacuations | None = None,
+    ) -> None:
         self._data_centre = data_centre
+        self._evacuations = Evacuations() if evacuations is None else evacuations
         self._rows: dict[str, ServerRow] = {}
         self._removed: dict[str, ServerRow] = {}
         self._local: dict[str, list[ServerRow]] = {}
@@ -201,17 +210,33 @@
 
     def is_saturated(self, service: str, now: Millis) -> bool:
         """Return whether the local servers of a service have more flows than slots."""
-        rows = self._local.get(service) or self._remote.get(service, [])
+        local, remote = self._local.get(service, []), self._remote.get(service, [])
+        rows = self._without_evacuated(local) or self._without_evacuated(remote)
         n_flows = sum(row.n_open + row.peer_load for row in rows)
         return n_flows > sum(row.capacity(now) for row in rows)
 
     def candidates(self, service: str, random: Random) -> list[ServerRow]:
         """Return a bounded number of servers of a service to select from."""
-        local = _random_window(self._local.get(service, []), N_LOCAL_CANDIDATES, random)
-        return local + _random_window(
-            self._remote.get(service, []), N_REMOTE_CANDIDATES, random
+        local = self._without_evacuated(self._local.get(service, []))
+        remote = self._without_evacuated(self._remote.get(service, []))
+        window = _random_window(local, N_LOCAL_CANDIDATES, random)
+        return window + _random_window(remote, N_REMOTE_CANDIDATES, random)
+
+    def is_evacuated(self, server: ServerRow) -> bool:
+        """Return whether the data centre of a server is evacuated."""
+        return self._evacuations.is_evacuated(server.entry.data_centre)
+
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether an evacuation alone excludes a server of a service."""
+        return len(self._evacuations) > 0 and any(
+            row.accepts_flows and self.is_evacuated(row)
+            for row in self.of_service(service)
         )
 
+    def n_in_data_centre(self, data_centre: str) -> int:
+        """Return the number of servers in a data centre."""
+        return sum(row.entry.data_centre == data_centre for row in self)
+
     def by_cookie(self, cookie: int) -> ServerRow | None:
         """Return the server with this cookie, also if it was removed recently."""
         name = self._cookies.resolve(cookie)
@@ -307,6 +332,12 @@
         self._service_rows(row.entry).remove(row)
         self._update_cookies(self._cookies.remove(row.name, now))
 
+    def _without_evacuated(self, rows: list[ServerRow]) -> list[ServerRow]:
+        """Return the rows whose data centre is not evacuated; often `rows` itself."""
+        if len(self._evacuations) == 0:
+            return rows
+        return [row for row in rows if not self.is_evacuated(row)]
+
     def _update_cookies(self, names: list[str]) -> None:
         for name in names:
             self._rows[name].cookie = self._cookies.cookie(name)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -20,6 +20,7 @@
 from stoattray_core.steering.admission import AdmissionControl, Overload
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.entries import Configuration, MemberEntry
+from stoattray_core.steering.evacuations import Evacuations
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
 from stoattray_core.steering.flow_placement import FlowPlacement
 from stoattray_core.steering.flows import FlowRow, FlowTable
@@ -96,9 +97,10 @@
         on_event: EventSink,
     ) -> None:
         self.members = MemberTable(own, random)
-        self.servers = ServerTable(flow_life_millis, own.data_centre)
+        evacuations = Evacuations()
+        self.servers = ServerTable(flow_life_millis, own.data_centre, evacuations)
         self.cluster_state = ClusterState(
-            self.servers, self.members, decoder=decoder, on_event=on_event
+            self.servers, self.members, evacuations, decoder=decoder, on_event=on_event
         )
         self.counters: Counter[str] = Counter()
         self.follow_up_times = Histogram()
@@ -266,6 +268,7 @@
     def remove_expired(self, now: Millis) -> None:
         """Remove expired entries from all tables; runs about once a second."""
         self.cluster_state.remove_lapsed(now)
+        self.cluster_state.end_kept_evacuations(now)
         for name in self.members.expire(now):
             self._on_event("member_silent", member=name)
         self.servers.expire(now)
@@ -280,6 +283,10 @@
         self, packet: Packet, flow: FlowRow | None, now: Millis
     ) -> ServerRow | Refused:
         if flow is not None and flow.is_established:
+            if self.servers.is_evacuated(flow.server):
+                # Its caller needs no answer; one that reuses the port tries again.
+                self.counters["openings_of_evacuated_flows"] += 1
+                return POSSIBLY_OPEN
             return flow.server
         if not self.is_ready:
             return NOT_READY
--- a/tests/core/steering/test_servers.py
+++ b/tests/core/steering/test_servers.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 
+from stoattray_core.steering.evacuations import Evacuations
 from stoattray_core.steering.servers import (
     N_LOCAL_CANDIDATES,
     N_REMOTE_CANDIDATES,
@@ -99,6 +100,35 @@
             seen.update(candidates)
         self.assertEqual(len(seen), 59)
 
+    def test_window_of_candidates_is_taken_after_evacuated_servers_are_excluded(self):
+        """Guards against windows of evacuated servers only, while others exist."""
+        evacuations = Evacuations()
+        table = ServerTable(FLOW_LIFE_MILLIS, "luzon-a", evacuations)
+        for number in range(1, 61):
+            data_centre = "luzon-b" if number < 55 else "luzon-c"
+            entry = server_entry(f"i-{number:02x}", data_centre=data_centre)
+            table.put(entry, START_MILLIS)
+        evacuations.begin("luzon-b", 1)
+        random = Random(1)
+        for _ in range(100):
+            candidates = table.candidates("lookup", random)
+            self.assertEqual({row.entry.data_centre for row in candidates}, {"luzon-c"})
+            self.assertEqual(len(candidates), N_REMOTE_CANDIDATES)
+
+    def test_saturation_is_judged_without_evacuated_servers(self):
+        """Guards against verdicts on remote servers that are full, not failing.
+
+        The idle local servers of an evacuation would hide that the others are full.
+        """
+        evacuations = Evacuations()
+        table = ServerTable(FLOW_LIFE_MILLIS, "luzon-a", evacuations)
+        table.put(server_entry("i-01"), START_MILLIS)
+        remote = table.put(server_entry("i-02", data_centre="luzon-b"), START_MILLIS)
+        remote.n_open = 5
+        self.assertFalse(table.is_saturated("lookup", START_MILLIS))
+        evacuations.begin("luzon-a", 1)
+        self.assertTrue(table.is_saturated("lookup", START_MILLIS))
+
     def test_removal_of_an_unknown_server_is_ignored(self):
         self.assertIsNone(
             self.table.mark_removed("i-09", START_MILLIS, may_be_lapsed=False)
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -8,6 +8,7 @@
     BackendServerEntry,
     Configuration,
     Entry,
+    Evacuation,
     MemberEntry,
     RequestKind,
     Route,
@@ -65,6 +66,11 @@
         """Return the name of the server whose record has this key."""
         return key.removeprefix("servers/") if key.startswith("servers/") else None
 
+    def evacuated_data_centre(self, key: str) -> str | None:
+        """Return the data centre whose evacuation has this key."""
+        prefix = "evacuations/"
+        return key.removeprefix(prefix) or None if key.startswith(prefix) else None
+
 
 def server_entry(name: str = "i-01", **changes: object) -> BackendServerEntry:
     """Return a warm, ready backend server of the lookup service."""
@@ -186,8 +192,12 @@
 
     def remove(self, name: str) -> None:
         """Apply the deletion of a backend server's record from the store."""
+        self.remove_key(f"servers/{name}")
+
+    def remove_key(self, key: str) -> None:
+        """Apply the deletion of a record from the store."""
         self._revision += 1
-        self.apply_record(Record(f"servers/{name}", self._revision, None))
+        self.apply_record(Record(key, self._revision, None))
 
     def apply_record(self, record: Record) -> None:
         """Apply one record from the store."""
@@ -246,4 +256,6 @@
         return "configuration"
     if isinstance(entry, BackendServerEntry):
         return f"servers/{entry.name}"
+    if isinstance(entry, Evacuation):
+        return f"evacuations/{entry.data_centre}"
     return "members/x"
