--- a/packages/stoattray-core/src/stoattray_core/steering/replica.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/replica.py
@@ -103,6 +103,7 @@
         changed = [record for record in difference.records if self._apply(record)]
         if difference.is_snapshot:
             changed.extend(self._delete_missing(difference))
+            self._note_snapshot(difference.revision)
         self._revision = max(self._revision, difference.revision)
         return changed
 
@@ -166,6 +167,11 @@
             _, evicted = self._tombstones.popitem(last=False)
             self._compacted_revision = max(self._compacted_revision, evicted)
 
+    def _note_snapshot(self, revision: int) -> None:
+        """Note that deletions up to `revision` of keys never held here are unknown."""
+        if revision > self._revision:
+            self._compacted_revision = max(self._compacted_revision, revision)
+
     def _delete_missing(self, difference: Difference) -> Iterable[Record]:
         present = {record.key for record in difference.records}
         missing = [
--- a/tests/core/steering/test_replica.py
+++ b/tests/core/steering/test_replica.py
@@ -26,6 +26,28 @@
         self.assertEqual(changed, [Record("k", 2, b"new")])
         self.assertEqual(self.replica.revision, 2)
 
+    def test_peer_from_before_a_snapshot_gets_all_records(self):
+        """Guards against deletions that a peer never hears of.
+
+        A snapshot holds no deletions, so a difference after an earlier revision would
+        lack those of keys that this replica never held.
+        """
+        peer = Replica()
+        peer.merge(difference(5, Record("k", 5, b"x"), is_snapshot=True))
+        self.replica.merge(difference(6, is_snapshot=True))
+        sent = self.replica.changes_since(peer.version)
+        changed = peer.merge(sent)
+        self.assertEqual(changed, [Record("k", 6, None)])
+        self.assertEqual(peer.version, self.replica.version)
+
+    def test_peer_at_the_revision_of_a_snapshot_gets_only_later_changes(self):
+        """Guards against snapshots in place of small differences."""
+        self.replica.merge(difference(6, Record("k", 2, b"x"), is_snapshot=True))
+        self.replica.merge(difference(6, Record("k", 2, b"x"), is_snapshot=True))
+        self.replica.merge(difference(7, Record("k", 7, b"y")))
+        sent = self.replica.changes_since(Version(0, 6))
+        self.assertEqual(sent, difference(7, Record("k", 7, b"y")))
+
     def test_older_record_is_ignored(self):
         self.replica.merge(difference(5, Record("k", 5, b"new")))
         self.assertEqual(self.replica.merge(difference(3, Record("k", 3, b"old"))), [])
