--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -127,6 +127,8 @@
         Seed of all random choices.
     workload : Workload
         Requests and the hosts' capacity.
+    data_centres : tuple of str
+        Names of the data centres.
     """
 
     def __init__(
@@ -136,7 +138,9 @@
         n_balancers: int = 2,
         seed: int = 1,
         workload: Workload | None = None,
+        data_centres: tuple[str, ...] = DATA_CENTRES,
     ) -> None:
+        self.data_centres = data_centres
         self.random = Random(seed)
         self.now = START_MILLIS
         self.workload = workload or Workload()
@@ -148,9 +152,9 @@
                 )
                 for n in range(n_balancers)
             ]
-            for data_centre in DATA_CENTRES
+            for data_centre in self.data_centres
         }
-        self.rates = dict.fromkeys(DATA_CENTRES, 0.0)
+        self.rates = dict.fromkeys(self.data_centres, 0.0)
         self.isolated: set[str] = set()
         self.processing_delays: dict[str, int] = {}
         self.cut_off: set[str] = set()
@@ -171,7 +175,7 @@
             timeout_millis=self.workload.deadline_millis,
         )
         self.declare(configuration(routes={route.destination: route}))
-        for data_centre in DATA_CENTRES:
+        for data_centre in self.data_centres:
             for _ in range(n_hosts):
                 self.add_host(data_centre)
 
@@ -264,8 +268,8 @@
 
     def set_load(self, load: float, *, only: str | None = None) -> None:
         """Set the rate of new flows, as a multiple of the capacity of all hosts."""
-        for data_centre in DATA_CENTRES:
-            share = 1 / len(DATA_CENTRES) if only is None else data_centre == only
+        for data_centre in self.data_centres:
+            share = 1 / len(self.data_centres) if only is None else data_centre == only
             self.rates[data_centre] = load * self.capacity * share
 
     def run(self, millis: int) -> list[Outcome]:
@@ -290,7 +294,7 @@
 
     def _finish(self) -> None:
         """Run until all open flows have ended, without opening new ones."""
-        rates, self.rates = self.rates, dict.fromkeys(DATA_CENTRES, 0.0)
+        rates, self.rates = self.rates, dict.fromkeys(self.data_centres, 0.0)
         while self._flows or self.n_retrying:
             self.step()
         self.rates = rates
