core: keep the lists of usable servers during an evacuation

Cause: filtering a service's servers for each opening took 20 us with 75 servers and 197 us with 600 while a data centre was evacuated; the limit of verdicts on failing servers still counted the evacuated ones. Change: the lists are kept until a server or an evacuation changes, and n_of_service counts without evacuated servers.

--- a/packages/stoattray-core/src/stoattray_core/steering/evacuations.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/evacuations.py
@@ -79,10 +79,16 @@
     def __init__(self) -> None:
         self._rows: dict[str, _Evacuation] = {}
         self._evacuated: set[str] = set()
+        self._n_changes = 0
 
     def __len__(self) -> int:
         return len(self._evacuated)
 
+    @property
+    def n_changes(self) -> int:
+        """Return how often the set has changed."""
+        return self._n_changes
+
     @property
     def has_kept(self) -> bool:
         """Return whether an evacuation is kept although the store lacks its record."""
@@ -123,6 +129,7 @@
         row.kept_until = None
         row.is_in_force = True
         self._evacuated.add(data_centre)
+        self._n_changes += 1
         if was_listed:
             return None
         return EvacuationChange(data_centre, EvacuationState.BEGUN, revision)
@@ -222,4 +229,5 @@
         row.kept_until = None
         row.ended_at = now
         self._evacuated.discard(data_centre)
+        self._n_changes += 1
         return EvacuationChange(data_centre, EvacuationState.ENDED, revision)
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -189,6 +189,8 @@
         self._remote: dict[str, list[ServerRow]] = {}
         self._cookies = CookieTable(cookie_retention_millis)
         self._lapsed: set[str] = set()
+        self._usable: dict[str, tuple[list[ServerRow], list[ServerRow]]] = {}
+        self._usable_at = 0
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -205,20 +207,20 @@
         return self._local.get(service, []) + self._remote.get(service, [])
 
     def n_of_service(self, service: str) -> int:
-        """Return the number of servers of a service."""
-        return len(self._local.get(service, ())) + len(self._remote.get(service, ()))
+        """Return the number of servers of a service, without evacuated ones."""
+        local, remote = self._usable_rows(service)
+        return len(local) + len(remote)
 
     def is_saturated(self, service: str, now: Millis) -> bool:
         """Return whether the local servers of a service have more flows than slots."""
-        local, remote = self._local.get(service, []), self._remote.get(service, [])
-        rows = self._without_evacuated(local) or self._without_evacuated(remote)
+        local, remote = self._usable_rows(service)
+        rows = local or remote
         n_flows = sum(row.n_open + row.peer_load for row in rows)
         return n_flows > sum(row.capacity(now) for row in rows)
 
     def candidates(self, service: str, random: Random) -> list[ServerRow]:
         """Return a bounded number of servers of a service to select from."""
-        local = self._without_evacuated(self._local.get(service, []))
-        remote = self._without_evacuated(self._remote.get(service, []))
+        local, remote = self._usable_rows(service)
         window = _random_window(local, N_LOCAL_CANDIDATES, random)
         return window + _random_window(remote, N_REMOTE_CANDIDATES, random)
 
@@ -314,6 +316,7 @@
             self._removed.pop(name, None)
 
     def _add(self, entry: BackendServerEntry, before: ServerRow | None) -> ServerRow:
+        self._usable.clear()
         if before is not None:
             self._service_rows(before.entry).remove(before)
         sharing = self._cookies.add(entry.name, entry.started_at)
@@ -325,6 +328,7 @@
         return row
 
     def _remove(self, row: ServerRow, now: Millis) -> None:
+        self._usable.clear()
         row.presence = Presence.GONE
         self._lapsed.discard(row.name)
         del self._rows[row.name]
@@ -332,11 +336,25 @@
         self._service_rows(row.entry).remove(row)
         self._update_cookies(self._cookies.remove(row.name, now))
 
-    def _without_evacuated(self, rows: list[ServerRow]) -> list[ServerRow]:
-        """Return the rows whose data centre is not evacuated; often `rows` itself."""
+    def _usable_rows(self, service: str) -> tuple[list[ServerRow], list[ServerRow]]:
+        """Return the local and remote servers of a service, without evacuated ones.
+
+        The lists are kept until a server or an evacuation changes. Filtering 600
+        servers for each opening took 197 us.
+        """
+        rows = self._local.get(service, []), self._remote.get(service, [])
         if len(self._evacuations) == 0:
             return rows
-        return [row for row in rows if not self.is_evacuated(row)]
+        if self._usable_at != self._evacuations.n_changes:
+            self._usable_at = self._evacuations.n_changes
+            self._usable.clear()
+        usable = self._usable.get(service)
+        if usable is None:
+            local, remote = (
+                [row for row in part if not self.is_evacuated(row)] for part in rows
+            )
+            usable = self._usable[service] = local, remote
+        return usable
 
     def _update_cookies(self, names: list[str]) -> None:
         for name in names:
--- a/tests/core/steering/test_servers.py
+++ b/tests/core/steering/test_servers.py
@@ -129,6 +129,43 @@
         evacuations.begin("luzon-a", 1)
         self.assertTrue(table.is_saturated("lookup", START_MILLIS))
 
+    def test_number_of_servers_leaves_out_evacuated_ones(self):
+        """Guards against too many verdicts on the servers that remain.
+
+        At most half of the servers of a service may be deprioritised as failing.
+        """
+        evacuations = Evacuations()
+        table = ServerTable(FLOW_LIFE_MILLIS, "luzon-a", evacuations)
+        table.put(server_entry("i-01"), START_MILLIS)
+        table.put(server_entry("i-02", data_centre="luzon-b"), START_MILLIS)
+        evacuations.begin("luzon-a", 1)
+        self.assertEqual(table.n_of_service("lookup"), 1)
+
+    def test_candidates_follow_each_change_during_an_evacuation(self):
+        """Guards against a kept list that misses a server, a removal or an end."""
+        evacuations = Evacuations()
+        table = ServerTable(FLOW_LIFE_MILLIS, "luzon-a", evacuations)
+        random = Random(1)
+
+        def names():
+            return sorted(row.name for row in table.candidates("lookup", random))
+
+        table.put(server_entry("i-01"), START_MILLIS)
+        evacuations.begin("luzon-a", 1)
+        self.assertEqual(names(), [])
+        table.put(server_entry("i-02", data_centre="luzon-b"), START_MILLIS)
+        self.assertEqual(names(), ["i-02"])
+        table.put(server_entry("i-01", data_centre="luzon-b"), START_MILLIS)
+        self.assertEqual(names(), ["i-01", "i-02"])
+        table.put(server_entry("i-02", service="archive"), START_MILLIS)
+        self.assertEqual(names(), ["i-01"])
+        evacuations.begin("luzon-b", 2)
+        self.assertEqual(names(), [])
+        evacuations.end("luzon-b", 3, START_MILLIS)
+        self.assertEqual(names(), ["i-01"])
+        table.mark_removed("i-01", START_MILLIS, may_be_lapsed=False)
+        self.assertEqual(names(), [])
+
     def test_removal_of_an_unknown_server_is_ignored(self):
         self.assertIsNone(
             self.table.mark_removed("i-09", START_MILLIS, may_be_lapsed=False)
