--- a/tests/core/steering/test_evacuation_schedules.py
+++ b/tests/core/steering/test_evacuation_schedules.py
@@ -215,6 +215,18 @@
         self.balancer.steering.apply_changes(older, self.balancer.now)
         self.assertTrue(self.is_evacuated())
 
+    def test_lost_history_applies_whether_the_key_exists_or_not(self):
+        """Guards against a snapshot of the same era that changes no evacuation."""
+        steering = self.balancer.steering
+        self.fleet.write("luzon-a")
+        steering.apply_changes(self.store.read_all(), self.balancer.now)
+        self.assertTrue(self.is_evacuated())
+        self.fleet.write("luzon-b")
+        self.fleet.remove("luzon-a")
+        steering.apply_changes(self.store.read_all(), self.balancer.now)
+        self.assertFalse(self.is_evacuated())
+        self.assertTrue(self.evacuations.is_evacuated("luzon-b"))
+
     def test_balancer_that_starts_after_the_return_knows_only_the_copy(self):
         """Shows the limit that the design note names."""
         self.lose_evacuation()
