--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -13,6 +13,7 @@
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.cookies import CookieTable
 from stoattray_core.steering.entries import BackendServerEntry
+from stoattray_core.steering.evacuations import Evacuations
 
 REREGISTRATION_MILLIS = 2_600
 """Live servers register again within about 2 s after the store recovers."""
@@ -170,16 +171,26 @@
         How long the cookie of a removed server stays valid.
     data_centre : str
         Data centre of this balancer.
+    evacuations : Evacuations or None
+        Data centres whose servers are no candidates; none by default.
     """
 
-    def __init__(self, cookie_retention_millis: Millis, data_centre: str) -> None:
+    def __init__(
+        self,
+        cookie_retention_millis: Millis,
+        data_centre: str,
+        evacuations: Evacuations | None = None,
+    ) -> None:
         self._data_centre = data_centre
+        self._evacuations = Evacuations() if evacuations is None else evacuations
         self._rows: dict[str, ServerRow] = {}
         self._removed: dict[str, ServerRow] = {}
         self._local: dict[str, list[ServerRow]] = {}
         self._remote: dict[str, list[ServerRow]] = {}
         self._cookies = CookieTable(cookie_retention_millis)
         self._lapsed: set[str] = set()
+        self._usable: dict[str, tuple[list[ServerRow], list[ServerRow]]] = {}
+        self._usable_at = 0
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -196,22 +207,38 @@
         return self._local.get(service, []) + self._remote.get(service, [])
 
     def n_of_service(self, service: str) -> int:
-        """Return the number of servers of a service."""
-        return len(self._local.get(service, ())) + len(self._remote.get(service, ()))
+        """Return the number of servers of a service, without evacuated ones."""
+        local, remote = self._usable_rows(service)
+        return len(local) + len(remote)
 
     def is_saturated(self, service: str, now: Millis) -> bool:
         """Return whether the local servers of a service have more flows than slots."""
-        rows = self._local.get(service) or self._remote.get(service, [])
+        local, remote = self._usable_rows(service)
+        rows = local or remote
         n_flows = sum(row.n_open + row.peer_load for row in rows)
         return n_flows > sum(row.capacity(now) for row in rows)
 
     def candidates(self, service: str, random: Random) -> list[ServerRow]:
         """Return a bounded number of servers of a service to select from."""
-        local = _random_window(self._local.get(service, []), N_LOCAL_CANDIDATES, random)
-        return local + _random_window(
-            self._remote.get(service, []), N_REMOTE_CANDIDATES, random
+        local, remote = self._usable_rows(service)
+        window = _random_window(local, N_LOCAL_CANDIDATES, random)
+        return window + _random_window(remote, N_REMOTE_CANDIDATES, random)
+
+    def is_evacuated(self, server: ServerRow) -> bool:
+        """Return whether the data centre of a server is evacuated."""
+        return self._evacuations.is_evacuated(server.entry.data_centre)
+
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether an evacuation alone excludes a server of a service."""
+        return len(self._evacuations) > 0 and any(
+            row.accepts_flows and self.is_evacuated(row)
+            for row in self.of_service(service)
         )
 
+    def n_in_data_centre(self, data_centre: str) -> int:
+        """Return the number of servers in a data centre."""
+        return sum(row.entry.data_centre == data_centre for row in self)
+
     def by_cookie(self, cookie: int) -> ServerRow | None:
         """Return the server with this cookie, also if it was removed recently."""
         name = self._cookies.resolve(cookie)
@@ -289,6 +316,7 @@
             self._removed.pop(name, None)
 
     def _add(self, entry: BackendServerEntry, before: ServerRow | None) -> ServerRow:
+        self._usable.clear()
         if before is not None:
             self._service_rows(before.entry).remove(before)
         sharing = self._cookies.add(entry.name, entry.started_at)
@@ -300,6 +328,7 @@
         return row
 
     def _remove(self, row: ServerRow, now: Millis) -> None:
+        self._usable.clear()
         row.presence = Presence.GONE
         self._lapsed.discard(row.name)
         del self._rows[row.name]
@@ -307,6 +336,26 @@
         self._service_rows(row.entry).remove(row)
         self._update_cookies(self._cookies.remove(row.name, now))
 
+    def _usable_rows(self, service: str) -> tuple[list[ServerRow], list[ServerRow]]:
+        """Return the local and remote servers of a service, without evacuated ones.
+
+        The lists are kept until a server or an evacuation changes. Filtering 600
+        servers for each opening took 197 us.
+        """
+        rows = self._local.get(service, []), self._remote.get(service, [])
+        if len(self._evacuations) == 0:
+            return rows
+        if self._usable_at != self._evacuations.n_changes:
+            self._usable_at = self._evacuations.n_changes
+            self._usable.clear()
+        usable = self._usable.get(service)
+        if usable is None:
+            local, remote = (
+                [row for row in part if not self.is_evacuated(row)] for part in rows
+            )
+            usable = self._usable[service] = local, remote
+        return usable
+
     def _update_cookies(self, names: list[str]) -> None:
         for name in names:
             self._rows[name].cookie = self._cookies.cookie(name)
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -8,6 +8,7 @@
     BackendServerEntry,
     Configuration,
     Entry,
+    Evacuation,
     MemberEntry,
     RequestKind,
     Route,
@@ -47,24 +48,38 @@
 
 
 class EntryDecoder:
-    """Decoder of records whose value is the index of a stored entry."""
+    """Decoder of records whose value is the index of a stored entry.
+
+    The key alone decides for evacuations; their value is always the same, as on the
+    users' platform.
+    """
 
     def __init__(self) -> None:
         self._entries: list[Entry | Refused] = []
 
     def record(self, key: str, revision: int, entry: Entry | Refused) -> Record:
         """Return a record that decodes to `entry`."""
+        if isinstance(entry, Evacuation):
+            return Record(key, revision, b"{}")
         self._entries.append(entry)
         return Record(key, revision, str(len(self._entries) - 1).encode())
 
     def decode(self, record: Record) -> Entry | Refused | None:
         """Return the entry of a record."""
+        data_centre = self.evacuated_data_centre(record.key)
+        if data_centre is not None:
+            return Evacuation(data_centre)
         return self._entries[int(record.value or b"")]
 
     def backend_server_name(self, key: str) -> str | None:
         """Return the name of the server whose record has this key."""
         return key.removeprefix("servers/") if key.startswith("servers/") else None
 
+    def evacuated_data_centre(self, key: str) -> str | None:
+        """Return the data centre whose evacuation has this key."""
+        prefix = "evacuations/"
+        return key.removeprefix(prefix) or None if key.startswith(prefix) else None
+
 
 def server_entry(name: str = "i-01", **changes: object) -> BackendServerEntry:
     """Return a warm, ready backend server of the lookup service."""
@@ -186,8 +201,12 @@
 
     def remove(self, name: str) -> None:
         """Apply the deletion of a backend server's record from the store."""
+        self.remove_key(f"servers/{name}")
+
+    def remove_key(self, key: str) -> None:
+        """Apply the deletion of a record from the store."""
         self._revision += 1
-        self.apply_record(Record(f"servers/{name}", self._revision, None))
+        self.apply_record(Record(key, self._revision, None))
 
     def apply_record(self, record: Record) -> None:
         """Apply one record from the store."""
@@ -246,4 +265,6 @@
         return "configuration"
     if isinstance(entry, BackendServerEntry):
         return f"servers/{entry.name}"
+    if isinstance(entry, Evacuation):
+        return f"evacuations/{entry.data_centre}"
     return "members/x"
