core: new flows avoid the servers of evacuated data centres

Cause: an operator could empty a data centre only by draining each of its backend servers in each service.

Change: a backend server has an optional data_centre, and the store an entry evacuations/DATA_CENTRE. Placement leaves out the servers of evacuated data centres as it leaves out draining ones; open flows stay. If an evacuation leaves a service without a server, its openings are refused at once, on settled buckets too, for which the fast path is then off.

--- a/packages/stoattray-core/src/stoattray_core/_bucket_table.py
+++ b/packages/stoattray-core/src/stoattray_core/_bucket_table.py
@@ -119,11 +119,18 @@
 
 
 def refresh_fast_path_address(state: State, row: ServiceRow, shard: int) -> None:
-    """Enable the fast path if every flow of the bucket is at one live server."""
+    """Enable the fast path if every flow of the bucket is at one live server.
+
+    The fast path does not distinguish openings, so a service whose openings are
+    refused because of an evacuation has none.
+    """
     bucket = row.buckets[shard]
     is_plain = bucket is not None and not bucket.tracked and not bucket.pins
     is_moving = (row.spec.service, shard) in state.tables.moves
-    if not is_plain or is_moving or bucket.base in row.failed_servers:
+    is_refusing = row.is_evacuated or (
+        bucket is not None and bucket.base in row.failed_servers
+    )
+    if not is_plain or is_moving or is_refusing:
         row.fast_path_addresses[shard] = None
         return
     row.fast_path_addresses[shard] = server_address(bucket.base)
--- a/packages/stoattray-core/src/stoattray_core/_config_distribution.py
+++ b/packages/stoattray-core/src/stoattray_core/_config_distribution.py
@@ -31,7 +31,7 @@
     ServiceSpec,
 )
 from stoattray_core.messages import ConfigDelta, ConfigPull, EntryState
-from stoattray_core.resources import load_stored_service
+from stoattray_core.resources import load_stored_evacuation, load_stored_service
 
 MAX_DELTA_BYTES = 16_384
 N_READERS = 2
@@ -39,6 +39,7 @@
 PULL_PERIOD_MILLIS = 100
 SERVICES_PREFIX = "services/"
 ADDRESSES_PREFIX = "addresses/"
+EVACUATIONS_PREFIX = "evacuations/"
 
 
 @dataclass(slots=True)
@@ -132,18 +133,57 @@
             self.on_pull(ConfigPull(after), row.peer_address)
 
     def _apply_entry(self, entry: ConfigEntry) -> None:
-        if not entry.key.startswith(SERVICES_PREFIX):
+        if entry.key.startswith(EVACUATIONS_PREFIX):
+            self._apply_evacuation(entry)
+        elif entry.key.startswith(SERVICES_PREFIX):
+            self._apply_service(entry)
+
+    def _apply_evacuation(self, entry: ConfigEntry) -> None:
+        """Begin or end the evacuation of a data centre."""
+        data_centre = entry.key.removeprefix(EVACUATIONS_PREFIX)
+        evacuated = self.state.tables.evacuated_data_centres
+        if entry.value is not None:
+            model = load_stored_evacuation(entry.value)
+            if model is None or model.data_centre != data_centre:
+                self._log_unreadable(entry)
+                return
+        is_evacuated = entry.value is not None
+        if is_evacuated is (data_centre in evacuated):
             return
+        if is_evacuated:
+            evacuated.add(data_centre)
+        else:
+            evacuated.remove(data_centre)
+        n_servers = 0
+        for row in self.state.tables.services.values():
+            n_concerned = sum(
+                server.data_centre == data_centre for server in row.spec.servers
+            )
+            if n_concerned:
+                n_servers += n_concerned
+                refresh_placement(self.state, row)
+        self.state.log(
+            "evacuation",
+            data_centre=data_centre,
+            state="begun" if is_evacuated else "ended",
+            revision=entry.revision,
+            n_servers=n_servers,
+        )
+
+    def _apply_service(self, entry: ConfigEntry) -> None:
         service = ServiceId(entry.key.removeprefix(SERVICES_PREFIX))
         if entry.value is None:
             self._remove_service(service)
             return
         model = load_stored_service(entry.value)
         if model is None or model.service != service:
-            self.state.log("config_unreadable", key=entry.key, revision=entry.revision)
+            self._log_unreadable(entry)
             return
         self._install_service(model.to_spec(), entry.revision)
 
+    def _log_unreadable(self, entry: ConfigEntry) -> None:
+        self.state.log("config_unreadable", key=entry.key, revision=entry.revision)
+
     def _install_service(self, spec: ServiceSpec, revision: int) -> None:
         row = self.state.tables.services.get(spec.service)
         if row is None:
@@ -195,14 +235,18 @@
 def refresh_placement(state: State, row: ServiceRow) -> None:
     """Recompute a service's accepting backend servers and desired placement.
 
-    If every active backend server has failed, all of them stay in use.
+    Servers of evacuated data centres accept no flows. If every other active
+    backend server has failed, all of those others stay in use.
     """
     active = [
         server for server in row.spec.servers if server.state is ServerState.ACTIVE
     ]
+    evacuated = state.tables.evacuated_data_centres
+    available = [server for server in active if server.data_centre not in evacuated]
+    row.is_evacuated = bool(active) and not available
     failed = failed_servers(state)
-    healthy = [server for server in active if server.server not in failed]
-    chosen = healthy or active
+    healthy = [server for server in available if server.server not in failed]
+    chosen = healthy or available
     row.accepting_servers = frozenset(server.server for server in chosen)
     row.failed_servers = failed
     state.changed_services.add(row.spec.service)
--- a/packages/stoattray-core/src/stoattray_core/_invariant_checker.py
+++ b/packages/stoattray-core/src/stoattray_core/_invariant_checker.py
@@ -74,6 +74,8 @@
             raise InvariantViolated(
                 f"{bucket_name}: fast path for an unsettled or pinned bucket"
             )
+        if row.is_evacuated:
+            raise InvariantViolated(f"{bucket_name}: fast path of an evacuated service")
         if bucket.base in row.failed_servers:
             raise InvariantViolated(
                 f"{bucket_name}: fast path to a dead backend server"
--- a/packages/stoattray-core/src/stoattray_core/_router.py
+++ b/packages/stoattray-core/src/stoattray_core/_router.py
@@ -119,6 +119,10 @@
     def _route(
         self, packet: Packet, row: ServiceRow, hops: int, ingress: MemberId | None
     ) -> None:
+        if packet.is_opening and row.is_evacuated:
+            self.state.counters["opening_without_server_by_evacuation"] += 1
+            self.state.refuse(ErrorKind.NO_BACKEND_SERVER, packet.data)
+            return
         shard = shard_of(packet.flow)
         bucket = row.buckets[shard]
         if bucket is not None:
--- a/packages/stoattray-core/src/stoattray_core/_tables.py
+++ b/packages/stoattray-core/src/stoattray_core/_tables.py
@@ -103,7 +103,8 @@
 
     A service with the balance policy has a home shard, whose owner decides for
     all of its buckets and so knows the number of open flows of every backend
-    server.
+    server. ``is_evacuated`` tells that all of its active backend servers are in
+    evacuated data centres.
     """
 
     spec: ServiceSpec
@@ -118,6 +119,7 @@
     open_flows_by_server: dict[ServerId, int] = field(default_factory=dict)
     tracking_stopped_at: Millis | None = None
     home_shard: int | None = None
+    is_evacuated: bool = False
 
 
 @dataclass(slots=True)
@@ -178,6 +180,7 @@
     moves: dict[BucketKey, BucketMove] = field(default_factory=dict)
     record_copies: dict[BucketKey, dict[FlowId, ServerId]] = field(default_factory=dict)
     entries: dict[str, ConfigEntry] = field(default_factory=dict)
+    evacuated_data_centres: set[str] = field(default_factory=set)
     pinned_buckets: set[BucketKey] = field(default_factory=set)
     recently_used_buckets: set[BucketKey] = field(default_factory=set)
     config_revision: int = 0
--- a/packages/stoattray-core/src/stoattray_core/configuration.py
+++ b/packages/stoattray-core/src/stoattray_core/configuration.py
@@ -27,7 +27,8 @@
     Parameters
     ----------
     key : str
-        ``services/<organisation>/<service>`` or ``addresses/<key in hex>``.
+        ``services/<organisation>/<service>``, ``addresses/<key in hex>`` or
+        ``evacuations/<data centre>``.
     revision : int
         Revision of the store at which the entry was last written.
     value : str or None
@@ -55,6 +56,9 @@
         TCP port of the health probes; None disables them.
     max_connections : int
         Maximum number of open flows on the host.
+    data_centre : str or None
+        Data centre of the server; None if it is not declared, in which case no
+        evacuation applies to it.
     """
 
     server: ServerId
@@ -62,6 +66,7 @@
     weight: int = 1
     health_port: int | None = None
     max_connections: int = 2_000
+    data_centre: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/stoattray-core/src/stoattray_core/resources.py
+++ b/packages/stoattray-core/src/stoattray_core/resources.py
@@ -2,14 +2,16 @@
 
 import ipaddress
 from enum import StrEnum
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import (
     AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
+    SerializerFunctionWrapHandler,
     ValidationError,
+    model_serializer,
     model_validator,
 )
 
@@ -67,6 +69,21 @@
     weight: int = Field(default=1, ge=1, le=100)
     health_port: Port | None = None
     max_connections: int = Field(default=2_000, ge=1, le=1_000_000)
+    data_centre: Name | None = None
+
+    @model_serializer(mode="wrap")
+    def _omit_missing_data_centre(
+        self, handler: SerializerFunctionWrapHandler
+    ) -> dict[str, Any]:
+        """Omit the key where it is not declared.
+
+        Balancers without this key reject a service that has it, so services that
+        do not use it must stay readable for them during an upgrade.
+        """
+        document: dict[str, Any] = handler(self)
+        if self.data_centre is None:
+            document.pop("data_centre", None)
+        return document
 
     def to_spec(self) -> BackendServerSpec:
         """Return the data class that the decision core works on."""
@@ -76,6 +93,7 @@
             weight=self.weight,
             health_port=self.health_port,
             max_connections=self.max_connections,
+            data_centre=self.data_centre,
         )
 
 
@@ -131,6 +149,13 @@
         )
 
 
+class EvacuationModel(Model):
+    """A request that new flows avoid the backend servers of a data centre."""
+
+    kind: Literal["evacuation"] = "evacuation"
+    data_centre: Name
+
+
 def _reject_duplicates(what: str, values: list[str]) -> None:
     for index, value in enumerate(values):
         if value in values[:index]:
@@ -173,3 +198,11 @@
         return ServiceModel.model_validate_json(text)
     except ValidationError:
         return None
+
+
+def load_stored_evacuation(text: str) -> EvacuationModel | None:
+    """Return the evacuation in an entry of the store, or None if it is invalid."""
+    try:
+        return EvacuationModel.model_validate_json(text)
+    except ValidationError:
+        return None
--- a/packages/stoattray-standin/src/stoattray_standin/services.py
+++ b/packages/stoattray-standin/src/stoattray_standin/services.py
@@ -1,5 +1,7 @@
 """Builds services for tests and benchmarks."""
 
+from collections.abc import Sequence
+
 from stoattray_core.resources import ServiceModel
 
 SERVER_PORT = 9000
@@ -20,8 +22,12 @@
     health_port: int | None = SERVER_PORT,
     draining: frozenset[str] = frozenset(),
     removed: frozenset[str] = frozenset(),
+    data_centres: Sequence[str] = (),
 ) -> ServiceModel:
-    """Return a service with backend servers ``name-1`` to ``name-n_servers``."""
+    """Return a service with backend servers ``name-1`` to ``name-n_servers``.
+
+    The servers are in `data_centres` in turn, or in none if it is empty.
+    """
     servers = []
     for number in range(1, n_servers + 1):
         server = f"{name}-{number}"
@@ -34,6 +40,11 @@
                 "port": SERVER_PORT,
                 "health_port": health_port,
                 "state": "draining" if server in draining else "active",
+                "data_centre": (
+                    data_centres[(number - 1) % len(data_centres)]
+                    if data_centres
+                    else None
+                ),
             }
         )
     return ServiceModel.model_validate(
--- a/packages/stoattray-standin/src/stoattray_standin/simulated_network.py
+++ b/packages/stoattray-standin/src/stoattray_standin/simulated_network.py
@@ -22,7 +22,7 @@
 )
 from stoattray_core.configuration import ConfigEntry
 from stoattray_core.outputs import Forward, LogEvent, Output, Reject, Relay, Send
-from stoattray_core.resources import ServiceModel
+from stoattray_core.resources import EvacuationModel, ServiceModel
 from stoattray_standin._simulated_callers import (
     CALLER_DELAY_MILLIS,
     SimulatedCallers,
@@ -137,7 +137,23 @@
             self._deliver_config(member)
         return self.revision
 
-    def _write_entry(self, key: str, value: str) -> None:
+    def evacuate(self, data_centre: str) -> int:
+        """Write the evacuation of a data centre to the store."""
+        evacuation = EvacuationModel(data_centre=data_centre)
+        return self._write_evacuation(data_centre, evacuation.model_dump_json())
+
+    def end_evacuation(self, data_centre: str) -> int:
+        """Delete the evacuation of a data centre from the store."""
+        return self._write_evacuation(data_centre, None)
+
+    def _write_evacuation(self, data_centre: str, value: str | None) -> int:
+        self.revision += 1
+        self._write_entry(f"evacuations/{data_centre}", value)
+        for member in self.cores:
+            self._deliver_config(member)
+        return self.revision
+
+    def _write_entry(self, key: str, value: str | None) -> None:
         self.store_entries[key] = ConfigEntry(key, self.revision, value)
 
     def _deliver_config(self, member: MemberId) -> None:
