balancer: evacuations of data centres in the API

Cause: an evacuation could only be written to the store by hand.

Change: PUT, GET and DELETE of /v1/evacuations/DATA_CENTRE, by compare-and-swap as for services, and a list in /v1/evacuations and /v1/status. Changes need a token for all organisations, since an evacuation concerns all of them. A data centre without servers is accepted with a warning. A gauge has the number of evacuated data centres.

--- a/packages/stoattray-balancer/src/stoattray_balancer/_api.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_api.py
@@ -2,31 +2,26 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any
 
 import falcon
 import gevent
-from pydantic import Field, ValidationError
-
-from stoattray_balancer._declarations import Declarations, DeclaredService
+from pydantic import Field
+
+from stoattray_balancer._api_bodies import read_body, validate
+from stoattray_balancer._api_context import ApiContext
+from stoattray_balancer._api_errors import add_error_handlers
+from stoattray_balancer._api_evacuations import (
+    EvacuationResource,
+    EvacuationsResource,
+    evacuations_in_force,
+)
+from stoattray_balancer._declarations import DeclaredService
 from stoattray_balancer._in_force_report import report_in_force
 from stoattray_balancer._logs import log_event
-from stoattray_balancer._telemetry import Telemetry
-from stoattray_balancer._tokens import TokenAuth
-from stoattray_core import ERROR_RESPONSES, Core, ErrorKind, StoattrayError
-from stoattray_core.resources import (
-    MAX_SERVICE_BYTES,
-    BackendServerModel,
-    Model,
-    ServiceModel,
-    describe_validation_error,
-)
+from stoattray_core import ErrorKind, StoattrayError
+from stoattray_core.resources import BackendServerModel, Model, ServiceModel
 
-ModelT = TypeVar("ModelT", bound=Model)
-
-MAX_BODY_BYTES = 2 * MAX_SERVICE_BYTES
 MAX_WAIT_SECONDS = 60.0
 STATUS_POLL_SECONDS = 0.05
 
@@ -45,34 +40,6 @@
     backend_server: BackendServerModel
 
 
-@dataclass(frozen=True, slots=True)
-class ApiContext:
-    """Dependencies shared by the API's resources.
-
-    Parameters
-    ----------
-    core : Core
-        Source of the configuration in force and of the members.
-    declarations : Declarations
-        Reads and changes declared services.
-    tokens : TokenAuth
-        Authenticates and authorises requests.
-    telemetry : Telemetry
-        Records a span for each call to the platform.
-    request_revisions : callable
-        Pings each balancer that is not known to serve the given revision.
-    counters : callable
-        Returns event counts by name.
-    """
-
-    core: Core
-    declarations: Declarations
-    tokens: TokenAuth
-    telemetry: Telemetry
-    request_revisions: Callable[[int], None]
-    counters: Callable[[], dict[str, int]]
-
-
 class OrganisationsResource:
     """``/v1/organisations``."""
 
@@ -138,7 +105,7 @@
     ) -> None:
         """Create or change a service, or preview the change if ``dry_run`` is set."""
         self._context.tokens.authorise(request.auth, organisation)
-        change = _read_body(request, ServiceChange)
+        change = read_body(request, ServiceChange)
         _check_name(change.service, organisation, name)
         self._context.telemetry.record_span("api to platform", operation="put")
         if request.get_param_as_bool("dry_run"):
@@ -195,7 +162,7 @@
     ) -> None:
         """Add or change one backend server of a service."""
         self._context.tokens.authorise(request.auth, organisation)
-        change = _read_body(request, BackendServerChange)
+        change = read_body(request, BackendServerChange)
         if change.backend_server.name != server:
             reason = (
                 f"backend_server.name={change.backend_server.name!r}: "
@@ -247,7 +214,7 @@
             servers.append(replacement)
         spec = service.spec.model_dump(mode="json")
         spec["backend_servers"] = [item.model_dump(mode="json") for item in servers]
-        return _validate(
+        return validate(
             ServiceModel,
             {"organisation": organisation, "name": name, "spec": spec},
         )
@@ -261,7 +228,7 @@
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the report once the revision is in force or the wait has ended."""
-        self._context.tokens.authenticate(request.auth)
+        allowed = self._context.tokens.authenticate(request.auth)
         core = self._context.core
         default = core.config_revision
         revision = request.get_param_as_int("revision", min_value=0, default=default)
@@ -274,7 +241,8 @@
             self._context.request_revisions(revision)
             gevent.sleep(STATUS_POLL_SECONDS)
             report = report_in_force(core, revision)
-        response.media = report.to_json()
+        evacuations = evacuations_in_force(self._context, allowed)
+        response.media = {**report.to_json(), "evacuations": evacuations}
 
 
 class CountersResource:
@@ -306,15 +274,15 @@
 def build_app(context: ApiContext) -> falcon.App:
     """Return the WSGI application."""
     app = falcon.App()
-    app.add_error_handler(StoattrayError, _handle_error)
-    app.add_error_handler(Exception, _handle_unexpected_error)
-    app.add_error_handler(falcon.HTTPError, _handle_http_error)
+    add_error_handlers(app)
     base = "/v1/organisations/{organisation}/services"
     app.add_route("/v1/organisations", OrganisationsResource(context))
     app.add_route(base, ServicesResource(context))
     app.add_route(base + "/{name}", ServiceResource(context))
     servers = base + "/{name}/backend-servers/{server}"
     app.add_route(servers, BackendServerResource(context))
+    app.add_route("/v1/evacuations", EvacuationsResource(context))
+    app.add_route("/v1/evacuations/{data_centre}", EvacuationResource(context))
     app.add_route("/v1/status", StatusResource(context))
     app.add_route("/v1/counters", CountersResource(context))
     app.add_route("/v1/ready", ReadinessResource(context))
@@ -342,61 +310,3 @@
     if service.service != f"{organisation}/{name}":
         reason = f"service={service.service!r}: expected '{organisation}/{name}'"
         raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
-
-
-def _read_body(request: falcon.Request, model: type[ModelT]) -> ModelT:
-    length = request.content_length or 0
-    if length > MAX_BODY_BYTES:
-        reason = f"body of {length} bytes: expected {MAX_BODY_BYTES} at most"
-        raise StoattrayError(ErrorKind.TOO_LARGE, reason)
-    data = request.bounded_stream.read(MAX_BODY_BYTES)
-    try:
-        return model.model_validate_json(data)
-    except ValidationError as error:
-        reason = describe_validation_error(error)
-        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason) from None
-
-
-def _validate(model: type[ModelT], value: dict[str, Any]) -> ModelT:
-    try:
-        return model.model_validate(value)
-    except ValidationError as error:
-        reason = describe_validation_error(error)
-        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason) from None
-
-
-def _handle_error(
-    request: falcon.Request,
-    response: falcon.Response,
-    error: StoattrayError,
-    params: dict[str, Any],
-) -> None:
-    response.status = error.response.http_status
-    response.media = {"error": {"kind": error.kind, "reason": error.reason}}
-    log_event("api_refused", kind=error.kind, path=request.path, reason=error.reason)
-
-
-def _handle_http_error(
-    request: falcon.Request,
-    response: falcon.Response,
-    error: falcon.HTTPError,
-    params: dict[str, Any],
-) -> None:
-    is_missing = error.status_code == 404
-    kind = ErrorKind.NOT_FOUND if is_missing else ErrorKind.INVALID_ARGUMENT
-    response.status = error.status
-    reason = error.description or error.title or "bad request"
-    response.media = {"error": {"kind": kind, "reason": reason}}
-
-
-def _handle_unexpected_error(
-    request: falcon.Request,
-    response: falcon.Response,
-    error: Exception,
-    params: dict[str, Any],
-) -> None:
-    response.status = ERROR_RESPONSES[ErrorKind.INTERNAL].http_status
-    response.media = {
-        "error": {"kind": ErrorKind.INTERNAL, "reason": type(error).__name__}
-    }
-    log_event("api_failed", path=request.path, error=repr(error))
--- a/packages/stoattray-balancer/src/stoattray_balancer/_declarations.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_declarations.py
@@ -1,14 +1,12 @@
 """Declared services, changed by compare-and-swap on the platform's store."""
 
-import uuid
 from dataclasses import dataclass
 
-from stoattray_balancer._store import Precondition, Put, Store, StoredEntry
-from stoattray_core import Core, ErrorKind, Refused, StoattrayError
+from stoattray_balancer._config_store import ConfigStore, check_revision
+from stoattray_balancer._store import Precondition, Put
+from stoattray_core import Core, ErrorKind, StoattrayError
 from stoattray_core.resources import ServiceModel, load_stored_service
 
-MISSING_ENTRY = StoredEntry(revision=0, change_id="", value=None)
-
 
 @dataclass(frozen=True, slots=True)
 class DeclaredService:
@@ -32,12 +30,12 @@
     Parameters
     ----------
     core : Core
-        Receives each change immediately after it is written.
-    store : Store or None
-        The platform; None if this balancer has none.
+        Source of the configuration in force.
+    store : ConfigStore
+        Reads and writes the platform's entries.
     """
 
-    def __init__(self, core: Core, store: Store | None) -> None:
+    def __init__(self, core: Core, store: ConfigStore) -> None:
         self._core = core
         self._store = store
 
@@ -68,7 +66,7 @@
         StoattrayError
             PLATFORM_UNAVAILABLE if the store can't be reached.
         """
-        entry = self._get_entry(f"services/{organisation}/{name}")
+        entry = self._store.get(f"services/{organisation}/{name}")
         if entry.value is None:
             return DeclaredService(0, None)
         return DeclaredService(entry.revision, load_stored_service(entry.value))
@@ -90,11 +88,11 @@
             INVALID_ARGUMENT if the policy would change.
         """
         key = f"services/{service.service}"
-        entry = self._get_entry(key)
-        preconditions = [Precondition(key, self._check_revision(entry, expected))]
+        entry = self._store.get(key)
+        preconditions = [Precondition(key, check_revision(entry, expected))]
         puts = [Put(key, service.model_dump_json())]
         address_key = f"addresses/{service.spec.key:x}"
-        address_entry = self._get_entry(address_key)
+        address_entry = self._store.get(address_key)
         if address_entry.value not in (None, service.service):
             reason = (
                 f"spec.address {service.spec.address}:{service.spec.port}: "
@@ -112,7 +110,7 @@
             raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
         if previous is not None and previous.spec.key != service.spec.key:
             self._release_address(previous, preconditions, puts)
-        return self._write(preconditions, puts)
+        return self._store.write(preconditions, puts, f"get {service.service}")
 
     def delete(self, organisation: str, name: str, expected: int) -> int:
         """Delete a service; return the new revision.
@@ -123,80 +121,22 @@
             NOT_FOUND, CONFLICT, PLATFORM_UNAVAILABLE or OUTCOME_UNKNOWN.
         """
         key = f"services/{organisation}/{name}"
-        entry = self._get_entry(key)
+        entry = self._store.get(key)
         if entry.value is None:
             reason = f"service {organisation}/{name} does not exist"
             raise StoattrayError(ErrorKind.NOT_FOUND, reason)
-        preconditions = [Precondition(key, self._check_revision(entry, expected))]
+        preconditions = [Precondition(key, check_revision(entry, expected))]
         puts = [Put(key, None)]
         previous = load_stored_service(entry.value)
         if previous is not None:
             self._release_address(previous, preconditions, puts)
-        return self._write(preconditions, puts)
-
-    def refresh(self) -> bool:
-        """Pass new changes to the core; return whether the store could be read."""
-        if self._store is None:
-            return False
-        after = self._core.config_revision
-        changes = self._store.read(after)
-        if isinstance(changes, Refused):
-            return False
-        self._core.on_config(after, changes.revision, changes.entries)
-        return True
-
-    def _check_revision(self, entry: StoredEntry, expected: int) -> int:
-        """Return the revision to compare with.
-
-        Clients give a missing or deleted service as revision 0; the store compares
-        with the revision of its tombstone.
-        """
-        current = 0 if entry.value is None else entry.revision
-        if expected != current:
-            reason = f"revision {expected} was given, the current one is {current}"
-            raise StoattrayError(ErrorKind.CONFLICT, reason)
-        return entry.revision
+        return self._store.write(preconditions, puts, f"get {organisation}/{name}")
 
     def _release_address(
         self, service: ServiceModel, preconditions: list[Precondition], puts: list[Put]
     ) -> None:
         address_key = f"addresses/{service.spec.key:x}"
-        entry = self._get_entry(address_key)
+        entry = self._store.get(address_key)
         if entry.value == service.service:
             preconditions.append(Precondition(address_key, entry.revision))
             puts.append(Put(address_key, None))
-
-    def _get_entry(self, key: str) -> StoredEntry:
-        entry = self._require_store().get(key)
-        if isinstance(entry, Refused):
-            reason = (
-                f"the platform did not answer ({entry.detail}); nothing was changed"
-            )
-            raise StoattrayError(ErrorKind.PLATFORM_UNAVAILABLE, reason)
-        return entry or MISSING_ENTRY
-
-    def _write(self, preconditions: list[Precondition], puts: list[Put]) -> int:
-        change_id = uuid.uuid4().hex
-        result = self._require_store().write(preconditions, puts, change_id)
-        if isinstance(result, Refused):
-            raise StoattrayError(result.kind, _refusal_reason(result, puts[0].key))
-        self.refresh()
-        return result
-
-    def _require_store(self) -> Store:
-        if self._store is None:
-            reason = "no platform is configured; nothing was changed"
-            raise StoattrayError(ErrorKind.PLATFORM_UNAVAILABLE, reason)
-        return self._store
-
-
-def _refusal_reason(refused: Refused, key: str) -> str:
-    if refused.kind is ErrorKind.OUTCOME_UNKNOWN:
-        name = key.removeprefix("services/")
-        return (
-            f"the platform's response was lost ({refused.detail}), so it is unknown "
-            f"whether the change was applied; check with: stoattrayctl get {name}"
-        )
-    if refused.kind is ErrorKind.CONFLICT:
-        return f"not applied: {refused.detail}"
-    return f"not applied: the platform did not answer ({refused.detail})"
--- a/packages/stoattray-balancer/src/stoattray_balancer/_platform_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_platform_reader.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import Event
 
-from stoattray_balancer._declarations import Declarations
+from stoattray_balancer._config_store import ConfigStore
 from stoattray_balancer._logs import log_event
 from stoattray_balancer._store import Store
 from stoattray_balancer._throttling import ExponentialBackoff
@@ -24,7 +24,7 @@
     ----------
     core : Core
         Determines whether this balancer is a reader.
-    declarations : Declarations
+    config_store : ConfigStore
         Reads the changes and passes them to the core.
     store : Store
         Watched for changes.
@@ -37,14 +37,14 @@
     def __init__(
         self,
         core: Core,
-        declarations: Declarations,
+        config_store: ConfigStore,
         store: Store,
         *,
         poll_seconds: float,
         random: Random,
     ) -> None:
         self._core = core
-        self._declarations = declarations
+        self._config_store = config_store
         self._store = store
         self._poll_seconds = poll_seconds
         self._random = random
@@ -60,7 +60,7 @@
                 gevent.sleep(RECHECK_SECONDS)
                 continue
             self._change_event.clear()
-            if self._declarations.refresh():
+            if self._config_store.refresh():
                 self._record_success()
                 self._change_event.wait(self._poll_seconds)
             else:
--- a/packages/stoattray-balancer/src/stoattray_balancer/_telemetry.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_telemetry.py
@@ -125,6 +125,9 @@
         meter.create_observable_gauge(
             "stoattray.config.revision", [self._observe_revision], unit="1"
         )
+        meter.create_observable_gauge(
+            "stoattray.evacuated_data_centres", [self._observe_evacuations], unit="1"
+        )
 
     def _choose_exporters(self) -> tuple[SpanExporter, MetricExporter]:
         if self._custom_exporters is not None:
@@ -143,3 +146,6 @@
 
     def _observe_revision(self, _: CallbackOptions) -> Iterable[Observation]:
         yield Observation(self._core.config_revision)
+
+    def _observe_evacuations(self, _: CallbackOptions) -> Iterable[Observation]:
+        yield Observation(len(self._core.tables.evacuated_data_centres))
--- a/packages/stoattray-balancer/src/stoattray_balancer/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/process.py
@@ -12,10 +12,13 @@
 import gevent
 from gevent.pywsgi import WSGIServer
 
-from stoattray_balancer._api import ApiContext, build_app
+from stoattray_balancer._api import build_app
+from stoattray_balancer._api_context import ApiContext
+from stoattray_balancer._config_store import ConfigStore
 from stoattray_balancer._datapath import Datapath, udp_socket
 from stoattray_balancer._declarations import Declarations
 from stoattray_balancer._encryption import Keyring, load_keys
+from stoattray_balancer._evacuations import Evacuations
 from stoattray_balancer._logs import log_event, set_up_logging
 from stoattray_balancer._platform_reader import PlatformReader, restart_on_error
 from stoattray_balancer._prober import Prober
@@ -64,7 +67,7 @@
         self._core = self._build_core()
         self._telemetry = Telemetry(settings.telemetry, settings.member, self._core)
         self._store = Store(settings.platform) if settings.platform else None
-        self._declarations = Declarations(self._core, self._store)
+        self._config_store = ConfigStore(self._core, self._store)
         self._n_stop_signals = 0
 
     def run(self) -> int:
@@ -186,7 +189,8 @@
 
         context = ApiContext(
             core=self._core,
-            declarations=self._declarations,
+            declarations=Declarations(self._core, self._config_store),
+            evacuations=Evacuations(self._core, self._config_store),
             tokens=self._tokens,
             telemetry=self._telemetry,
             request_revisions=request_revisions,
@@ -216,7 +220,7 @@
         if self._store is not None and self._settings.platform is not None:
             reader = PlatformReader(
                 self._core,
-                self._declarations,
+                self._config_store,
                 self._store,
                 poll_seconds=self._settings.platform.poll_seconds,
                 random=self._random,
