--- a/packages/stoattray-operator/src/stoattray_operator/client.py
+++ b/packages/stoattray-operator/src/stoattray_operator/client.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import requests
 
@@ -116,6 +117,20 @@
                     raise
         raise StoattrayError(ErrorKind.CONFLICT, "no attempts left")
 
+    def get_evacuation(self, data_centre: str) -> dict[str, Any]:
+        """Return an evacuation as the platform stores it."""
+        return self._call("GET", _evacuation_path(data_centre))
+
+    def put_evacuation(self, data_centre: str, revision: int) -> dict[str, Any]:
+        """Evacuate a data centre, if `revision` is still the current one."""
+        path = _evacuation_path(data_centre)
+        return self._call("PUT", path, body={"revision": revision})
+
+    def delete_evacuation(self, data_centre: str, revision: int) -> dict[str, Any]:
+        """End an evacuation, if `revision` is still its current one."""
+        path = _evacuation_path(data_centre)
+        return self._call("DELETE", path, query={"revision": str(revision)})
+
     def get_status(
         self, revision: int | None = None, wait_seconds: float = 0.0
     ) -> dict[str, Any]:
@@ -177,6 +192,10 @@
     return f"/v1/organisations/{organisation}/services/{name}"
 
 
+def _evacuation_path(data_centre: str) -> str:
+    return f"/v1/evacuations/{quote(data_centre, safe='')}"
+
+
 def _parse_error(document: Any, status: int) -> StoattrayError:
     try:
         error = document["error"]
