operator: check a declaration before it is sent

Cause: apply stops at the first invalid service, names no line, and accepts declarations that cannot work as they read.

Change: stoattrayctl check FILE reports errors with JSON path and line, a table of rules finds contradictions, and a comparison with the version in force finds what the API would refuse. Files that nest too deeply or have very long integers are findings; apply reports them as errors in place of a traceback.

--- a/packages/stoattray-operator/src/stoattray_operator/_documents.py
+++ b/packages/stoattray-operator/src/stoattray_operator/_documents.py
@@ -20,20 +20,37 @@
         INVALID_ARGUMENT or TOO_LARGE; the reason names the key, its value and what
         was expected.
     """
-    text = _read_text(source)
-    try:
-        value = json.loads(text)
-    except json.JSONDecodeError as error:
-        raise StoattrayError(
-            ErrorKind.INVALID_ARGUMENT, f"{source}: {error}; expected JSON"
-        ) from None
+    value = load_json(read_text(source))
+    if isinstance(value, ValueError):
+        reason = f"{source}: {value}; expected JSON"
+        raise StoattrayError(ErrorKind.INVALID_ARGUMENT, reason)
     documents = value if isinstance(value, list) else [value]
     services = [_parse_document(source, document) for document in documents]
     _reject_duplicates(source, services)
     return services
 
 
-def _read_text(source: str) -> str:
+def load_json(text: str) -> Any:
+    """Return the value of a JSON text, or a ValueError that tells why it has none.
+
+    Besides syntax errors, these are integers and nestings beyond Python's limits.
+    """
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        return error
+    except RecursionError:
+        return ValueError("too deeply nested")
+
+
+def read_text(source: str) -> str:
+    """Return the text of a file, or that of standard input for ``-``.
+
+    Raises
+    ------
+    StoattrayError
+        INVALID_ARGUMENT if it can't be read, or TOO_LARGE.
+    """
     try:
         if source == "-":
             text = sys.stdin.read(MAX_FILE_BYTES + 1)
--- a/packages/stoattray-operator/src/stoattray_operator/main.py
+++ b/packages/stoattray-operator/src/stoattray_operator/main.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from stoattray_core import StoattrayError
+from stoattray_operator._check_command import add_check_command
 from stoattray_operator._evacuation_commands import add_evacuation_commands
 from stoattray_operator._log_commands import add_log_commands
 from stoattray_operator._service_commands import add_service_commands
@@ -56,6 +57,7 @@
     parser.add_argument("--certificate", help="PEM file of the client's certificate")
     parser.add_argument("--key", help="PEM file of the client's key")
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    add_check_command(commands)
     add_service_commands(commands)
     add_evacuation_commands(commands)
     add_status_commands(commands)
