operator: simpler placement of repeated keys; linear look-up of taken addresses

Cause: the look-up copied a table for each declared service.

Change: it removes the one entry that a service gives up.

--- a/packages/stoattray-operator/src/stoattray_operator/_check.py
+++ b/packages/stoattray-operator/src/stoattray_operator/_check.py
@@ -18,7 +18,7 @@
     Severity,
     place_fault,
 )
-from stoattray_operator._json_lines import JsonLines, PathParts, scan_json
+from stoattray_operator._json_lines import JsonLines, PathParts, format_path, scan_json
 
 MAX_SHOWN_VALUE = 60
 INVALID_VALUE = "invalid_value"
@@ -91,10 +91,13 @@
 
 def _find_repeated_keys(lines: JsonLines) -> Iterator[Finding]:
     for path, line in lines.repeated_keys:
-        fault = Fault(path, "the key is given twice; the last one counts", "one value")
-        found = place_fault(fault, Severity.WARNING, REPEATED_KEY, JsonLines())
         yield Finding(
-            found.severity, found.rule, found.path, line, found.problem, found.expected
+            Severity.WARNING,
+            REPEATED_KEY,
+            format_path(path),
+            line,
+            "the key is given twice; the last one counts",
+            "one value",
         )
 
 
--- a/packages/stoattray-operator/src/stoattray_operator/_check_in_force.py
+++ b/packages/stoattray-operator/src/stoattray_operator/_check_in_force.py
@@ -128,10 +128,12 @@
     is free if an earlier one gives it up.
     """
     holders: dict[int, str] = {}
+    keys: dict[str, int] = {}
     for name in in_force.services:
         before = _service_in_force(in_force, name)
         if before is not None:
             holders[before.spec.key] = name
+            keys[name] = before.spec.key
     for item in services:
         spec = item.service.spec
         name = item.service.service
@@ -143,7 +145,8 @@
                 f"{holder!r} in force",
                 "a free address, or a change of the other service earlier in the file",
             )
-        holders = {key: held for key, held in holders.items() if held != name}
+        if name in keys:
+            holders.pop(keys[name], None)
 
 
 def find_evacuated_services(
