core: limit openings for cold servers over all balancers

Cause: each balancer places openings on a server that has just started as on any other one, only with a smaller capacity. With 31 balancers a limit of 5 openings a second leaves each a share of 0.16, so no share of each balancer keeps it.

Change: the whole budget of a cold server belongs to one balancer, the first by rendezvous hash of server and start over the balancers that the replica lists in its data centre. Others exclude the server before the window of candidates is taken. The confirmation is separate and stricter: reports queued during a pause confirm nothing, a late answer to a watch counts as of its start, and a peer's response as of the request. Heartbeats report this age only if a service has a limit. Services get `warm_ups` in the configuration; a malformed value means no limit. `warm_up_overage` and `warm_up_slack` are optional settings.

--- a/deploy/tests/test_record_decoder.py
+++ b/deploy/tests/test_record_decoder.py
@@ -18,6 +18,7 @@
     BackendServerEntry,
     Configuration,
     RequestKind,
+    WarmUp,
 )
 from stoattray_core.steering.replica import Record
 from stoattray_platform.record_decoder import PlatformRecordDecoder
@@ -132,6 +133,48 @@
         self.assertIs(plain.kind, RequestKind.NON_IDEMPOTENT)
         self.assertEqual((read.version, read.idle_timeout_millis), (7, 15_000))
 
+    def warm_ups(self, services):
+        decoded = self.decoder.decode(build_configuration_record(services=services))
+        self.assertIsInstance(decoded, Configuration)
+        return decoded.warm_ups
+
+    def test_warm_ups_of_services(self):
+        """Guards against a limit that is lost, also a rate of 0."""
+        services = [
+            {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": 0.0},
+            {"name": "wuno96b", "warmup_s": 0.5, "warmup_per_s": 3},
+        ]
+        expected = {"huvo11a": WarmUp(2_000, 0.0), "wuno96b": WarmUp(500, 3.0)}
+        self.assertEqual(self.warm_ups(services), expected)
+
+    def test_missing_or_malformed_warm_ups_mean_no_limit(self):
+        """Guards against a configuration that one service's value refuses."""
+        valid = {"name": "wuno96b", "warmup_s": 1, "warmup_per_s": 2.5}
+        malformed = (
+            {"name": "huvo11a"},
+            {"name": "huvo11a", "warmup_s": 2.0},
+            {"name": "huvo11a", "warmup_per_s": 2.0},
+            {"name": "huvo11a", "warmup_s": "2", "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": True, "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": -1, "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": None},
+            {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": float("nan")},
+            {"name": "huvo11a", "warmup_s": float("inf"), "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": 1e300, "warmup_per_s": 1.0},
+            {"name": ["huvo11a"], "warmup_s": 2.0, "warmup_per_s": 1.0},
+            {"warmup_s": 2.0, "warmup_per_s": 1.0},
+            ["huvo11a"],
+            None,
+        )
+        for item in malformed:
+            with self.subTest(item):
+                self.assertEqual(
+                    self.warm_ups([item, valid]), {"wuno96b": WarmUp(1_000, 2.5)}
+                )
+        for services in (None, {}, "huvo11a", 3):
+            with self.subTest(services):
+                self.assertEqual(self.warm_ups(services), {})
+
     def test_unknown_kind_is_treated_as_non_idempotent(self):
         body = build_configuration_body()
         body["routes"][0]["type"] = "new-kind"
--- /dev/null
+++ b/deploy/tests/test_settings_template.py
@@ -0,0 +1,62 @@
+"""The template of the settings is valid JSON with and without optional figures."""
+
+import json
+import re
+import tempfile
+import unittest
+from pathlib import Path
+
+from stoattray_balancer.steering.settings import load_steering_settings
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
+
+TEMPLATE = Path(__file__).parents[1] / "settings.json"
+VALUES = {
+    "node_name": "edge-1",
+    "zone": "luzon-a",
+    "ip": "10.1.0.10",
+    "endpoints.control_plane": "10.1.0.10:8166",
+    "internal_port_range.0": 7720,
+    "platform.address": "10.200.1.7:8169",
+    "platform.reads_per_s": 2000,
+    "platform.min_ttl_ms": 1000,
+    "bounds.flow_ttl_s": 60,
+    "bounds.grace_period_s": 6,
+}
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+NAME = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
+
+
+def render(template: str, values: dict) -> str:
+    """Render values, and sections without lists, of the platform's templates."""
+
+    def render_section(match):
+        value = values.get(match[1])
+        if value is None:
+            return ""
+        return match[2].replace("{{.|json}}", json.dumps(value))
+
+    def render_name(match):
+        value = values[match[1]]
+        return json.dumps(value) if match[2] else str(value)
+
+    return NAME.sub(render_name, SECTION.sub(render_section, template))
+
+
+class SettingsTemplateTest(unittest.TestCase):
+    """Rendered settings."""
+
+    def load(self, **bounds):
+        values = VALUES | {f"bounds.{name}": value for name, value in bounds.items()}
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "settings.json")
+            path.write_text(render(TEMPLATE.read_text(), values))
+            return load_steering_settings(str(path))
+
+    def test_without_the_figures_there_is_no_limit(self):
+        """Guards against a file that older platforms render as invalid JSON."""
+        self.assertIsNone(self.load().warm_up_bounds)
+
+    def test_with_the_figures(self):
+        """Guards against figures that do not reach the settings."""
+        settings = self.load(warmup_overage=1.5, warmup_slack=5)
+        self.assertEqual(settings.warm_up_bounds, WarmUpBounds(1.5, 5.0))
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -213,7 +213,7 @@
         steering = self._steering
         now = self._clock()
         is_reader = self._is_reading() and not self.is_leaving
-        confirmed_age = max(0, steering.confirmed_age(now))
+        confirmed_age = max(0, steering.reported_age(now))
         return Heartbeat(
             member=self._own,
             is_ready=steering.is_ready and not self.is_leaving,
@@ -249,6 +249,7 @@
         return True
 
     def _receive_datagrams(self) -> None:
+        self._steering.warm_up.confirmation.note_running(self._clock())
         while True:
             try:
                 data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -284,6 +285,7 @@
         if address in self._pulling_from:
             return
         self._pulling_from.add(address)
+        requested_at = self._clock()
         try:
             with gevent.Timeout(PULL_TIMEOUT_SECONDS, TimeoutError("too slow")):
                 response = self._request_difference(address)
@@ -298,7 +300,9 @@
             )
             return
         heartbeat, difference = response
-        self._steering.apply_peer_response(heartbeat, difference, self._clock())
+        self._steering.apply_peer_response(
+            heartbeat, difference, self._clock(), requested_at=requested_at
+        )
 
     def _request_difference(
         self, address: Address
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -5,6 +5,7 @@
 
 from stoattray_core._errors import ErrorKind, StoattrayError
 from stoattray_core._identifiers import Address
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
 
 LOG_LEVELS = ("info", "error")
 FIXED_AT_START = (
@@ -17,6 +18,7 @@
     "peer_port",
     "min_lease_ms",
     "flow_life_ms",
+    "warm_up_bounds",
 )
 """Settings that take effect only after a restart; others are applied on reload."""
 
@@ -40,6 +42,7 @@
     flow_life_ms: int
     grace_ms: int
     log_level: str
+    warm_up_bounds: WarmUpBounds | None = None
 
 
 def load_steering_settings(path: str) -> SteeringSettings:
@@ -87,8 +90,18 @@
             flow_life_ms=int(self._number("flow_life_seconds", 1, 86_400) * 1_000),
             grace_ms=int(self._number("grace_seconds", 1, 3_600) * 1_000),
             log_level=self._choice("log_level", LOG_LEVELS),
+            warm_up_bounds=self._warm_up_bounds(),
         )
 
+    def _warm_up_bounds(self) -> WarmUpBounds | None:
+        """Return the allowance for cold servers; None if both settings are missing."""
+        names = ("warm_up_overage", "warm_up_slack")
+        if not any(name in self._values for name in names):
+            return None
+        overage = self._number("warm_up_overage", 0, 1_000)
+        slack = self._number("warm_up_slack", 0, 1e6)
+        return WarmUpBounds(float(overage), float(slack))
+
     def _value(self, name: str, default: Any = _UNSET) -> Any:
         value = self._values.get(name, default)
         if value is _UNSET:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -163,11 +163,15 @@
 
     def _handle_response(self, response: Difference, started_at: Millis) -> None:
         now = self._clock()
+        self._steering.warm_up.confirmation.note_running(now)
         self._backoff.record_success()
         if self._steering.store_health.note_response(now):
             self._on_event("store_back", revision=response.revision)
         self._steering.apply_changes(response, now)
-        self._steering.confirm_replica(started_at if response.is_snapshot else now)
+        if response.is_snapshot:
+            self._steering.confirm_by_snapshot(started_at)
+        else:
+            self._steering.confirm_by_watch(started_at, now, WATCH_WAIT_MILLIS)
 
     def _handle_refusal(self, refused: Refused) -> float:
         if refused.kind is ErrorKind.HISTORY_GONE:
--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -213,7 +213,7 @@
         if controller is None:
             controller = self._controllers[route.destination] = _Controller(now)
         controller.update(route, response_time, now)
-        if now < self._recovering_until and _may_wait(route):
+        if now < self._recovering_until and may_wait(route):
             max_per_slot = (
                 MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
             )
@@ -245,7 +245,7 @@
         return response_time
 
 
-def _may_wait(route: Route) -> bool:
+def may_wait(route: Route) -> bool:
     """Return whether callers have time to try again after an unanswered opening."""
     timeout, target = route.timeout_millis, route.target_latency_millis
     return None not in (timeout, target) and timeout >= OPENING_MILLIS + target
--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -29,6 +29,7 @@
     ServerTable,
 )
 from stoattray_core.steering.store_health import StoreHealth
+from stoattray_core.steering.warm_up_limit import WarmUpLimit
 
 
 class ClusterState:
@@ -40,6 +41,8 @@
         Backend servers.
     members : MemberTable
         Other balancers.
+    warm_up : WarmUpLimit
+        Learns which balancers are listed, and the records of servers.
     decoder : RecordDecoder
         Decodes records.
     on_event : EventSink
@@ -51,6 +54,7 @@
         servers: ServerTable,
         members: MemberTable,
         *,
+        warm_up: WarmUpLimit,
         decoder: RecordDecoder,
         on_event: EventSink,
     ) -> None:
@@ -60,6 +64,7 @@
         self.store_health = StoreHealth(REREGISTRATION_MILLIS)
         self.n_malformed = 0
         self.n_restored = 0
+        self._warm_up = warm_up
         self._decoder = decoder
         self._on_event = on_event
         self._configuration: Configuration | None = None
@@ -148,6 +153,7 @@
             self._apply_server(entry, record, now, logs_change=logs_change)
         elif isinstance(entry, MemberEntry):
             self.members.discover(entry, now)
+            self._warm_up.owners.put_member(record.key, entry, now)
         elif isinstance(entry, Refused):
             self.n_malformed += 1
             self._on_event(
@@ -186,7 +192,9 @@
     ) -> None:
         before = self.servers.get(entry.name)
         was_draining = before is not None and before.entry.is_draining
-        self.servers.put(entry, now)
+        earlier_start = self.servers.started_at(entry.name)
+        row = self.servers.put(entry, now)
+        self._warm_up.note_server(row, earlier_start)
         has_changed = before is None or entry.is_draining != was_draining
         if has_changed and logs_change:
             self._on_event(
@@ -199,6 +207,7 @@
             )
 
     def _apply_removal(self, record: Record, now: Millis) -> None:
+        self._warm_up.owners.remove_member(record.key, now)
         name = self._decoder.backend_server_name(record.key)
         if name is None:
             return
--- a/packages/stoattray-core/src/stoattray_core/steering/entries.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/entries.py
@@ -1,6 +1,8 @@
 """Entries of operators, backend servers and balancers, decoded from store records."""
 
+from collections.abc import Mapping
 from enum import Enum
+from types import MappingProxyType
 from typing import NamedTuple
 
 from stoattray_core._identifiers import Address, Millis
@@ -44,6 +46,22 @@
     timeout_millis: Millis | None = None
 
 
+class WarmUp(NamedTuple):
+    """Warm-up of a service's backend servers, as operators declare it.
+
+    Parameters
+    ----------
+    millis : Millis
+        How long a server is cold after it starts.
+    openings_per_second : float
+        Openings that a cold server may get a second, before the allowance of the
+        settings.
+    """
+
+    millis: Millis
+    openings_per_second: float
+
+
 class Configuration(NamedTuple):
     """One accepted version of the operators' configuration.
 
@@ -55,11 +73,14 @@
         Routes by destination.
     idle_timeout_millis : Millis
         Idle time after which a flow may be removed.
+    warm_ups : mapping of str to WarmUp
+        Warm-up by service; services without one have no limit.
     """
 
     version: int
     routes: dict[bytes, Route]
     idle_timeout_millis: Millis
+    warm_ups: Mapping[str, WarmUp] = MappingProxyType({})
 
 
 class BackendServerEntry(NamedTuple):
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -7,10 +7,12 @@
 from stoattray_core._errors import ErrorKind
 from stoattray_core._identifiers import Millis
 from stoattray_core._sentinel import Refused
-from stoattray_core.steering.admission import AdmissionControl, Overload
+from stoattray_core.steering.admission import AdmissionControl, Overload, may_wait
 from stoattray_core.steering.cluster_state import ClusterState
+from stoattray_core.steering.entries import Route
 from stoattray_core.steering.server_selector import ServerSelector, draw_service
 from stoattray_core.steering.servers import ServerRow
+from stoattray_core.steering.warm_up_limit import WarmUpLimit
 
 FRESH_REPLICA_MILLIS = 2_000
 """A replica confirmed within this time is recent enough to reset openings to unknown
@@ -18,6 +20,8 @@
 
 NO_ROUTE = Refused(ErrorKind.NO_ROUTE)
 NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
+OVERLOADED = Refused(ErrorKind.OVERLOADED)
+DEFERRED = Refused(ErrorKind.DEFERRED)
 STALE_REPLICA = Refused(ErrorKind.UNKNOWN_ADDRESS)
 
 
@@ -32,6 +36,8 @@
         Selects the best server of a service.
     admission : AdmissionControl
         Decides whether an opening is refused for overload.
+    warm_up : WarmUpLimit
+        Excludes cold servers that may not get an opening.
     service_time : callable
         Returns a service's time in ms without the round trip, or None if unknown.
     counters : Counter
@@ -46,6 +52,7 @@
         selector: ServerSelector,
         admission: AdmissionControl,
         *,
+        warm_up: WarmUpLimit,
         service_time: Callable[[str], float | None],
         counters: Counter[str],
         random: Random,
@@ -53,6 +60,7 @@
         self._cluster_state = cluster_state
         self._selector = selector
         self._admission = admission
+        self._warm_up = warm_up
         self._service_time = service_time
         self._counters = counters
         self._random = random
@@ -85,8 +93,13 @@
             is_complete = not self._cluster_state.may_lack_writes(now)
             return NO_ROUTE if is_fresh and is_complete else STALE_REPLICA
         service = draw_service(route, self._random)
-        rows = self._cluster_state.servers.candidates(service, self._random)
+        exclusion = self._warm_up.exclusion(service, now)
+        rows = self._cluster_state.servers.candidates(service, self._random, exclusion)
         server = self._selector.select(rows, now, avoid=avoid)
+        if exclusion is not None and exclusion.withheld:
+            self._warm_up.note_withheld(exclusion, now)
+            if server is None:
+                return self._refuse_for_cold(route)
         if server is None:
             return NO_BACKEND_SERVER
         overload = self._admission.check(
@@ -101,3 +114,11 @@
             self._counters[f"openings_{name}"] += 1
             return overload
         return server
+
+    def _refuse_for_cold(self, route: Route) -> Refused:
+        """Refuse an opening because all servers are cold and withheld."""
+        is_deferred = may_wait(route)
+        self._counters["openings_all_cold"] += 1
+        name = "deferred" if is_deferred else "overloaded"
+        self._counters[f"openings_{name}"] += 1
+        return DEFERRED if is_deferred else OVERLOADED
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -6,7 +6,7 @@
 again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 from random import Random
 
@@ -55,6 +55,8 @@
     ----------
     warm_at : Millis
         When its warm-up ends.
+    maybe_cold_until : Millis
+        Until when it may be cold without a record of it, as it answered after silence.
     presence : Presence
         Whether its record is in the store, lapsed or removed.
     n_open : int
@@ -81,6 +83,7 @@
         "fast_share",
         "last_established_at",
         "last_sample_at",
+        "maybe_cold_until",
         "n_half_open",
         "n_open",
         "n_peer_requests",
@@ -104,6 +107,7 @@
         self.address = entry.address
         self.presence = Presence.LISTED
         self.warm_at: Millis = 0
+        self.maybe_cold_until: Millis = 0
         self.record_received_at: Millis = 0
         self.last_established_at: Millis = 0
         self.suspect_until: Millis = 0
@@ -205,11 +209,31 @@
         n_flows = sum(row.n_open + row.peer_load for row in rows)
         return n_flows > sum(row.capacity(now) for row in rows)
 
-    def candidates(self, service: str, random: Random) -> list[ServerRow]:
-        """Return a bounded number of servers of a service to select from."""
-        local = _random_window(self._local.get(service, []), N_LOCAL_CANDIDATES, random)
-        return local + _random_window(
-            self._remote.get(service, []), N_REMOTE_CANDIDATES, random
+    def candidates(
+        self,
+        service: str,
+        random: Random,
+        is_excluded: Callable[[ServerRow], bool] | None = None,
+    ) -> list[ServerRow]:
+        """Return a bounded number of servers of a service to select from.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        random : Random
+            Draws the servers.
+        is_excluded : callable or None
+            Tells which servers to leave out. They are left out before the bounded
+            number is taken, so that they do not displace others.
+        """
+        local = self._local.get(service, [])
+        remote = self._remote.get(service, [])
+        if is_excluded is not None:
+            local = [row for row in local if not is_excluded(row)]
+            remote = [row for row in remote if not is_excluded(row)]
+        return _random_window(local, N_LOCAL_CANDIDATES, random) + _random_window(
+            remote, N_REMOTE_CANDIDATES, random
         )
 
     def by_cookie(self, cookie: int) -> ServerRow | None:
@@ -233,6 +257,11 @@
         self._lapsed.discard(entry.name)
         return row
 
+    def started_at(self, name: str) -> int | None:
+        """Return the start time of a known or recently removed server, or None."""
+        row = self._rows.get(name) or self._removed.get(name)
+        return None if row is None else row.entry.started_at
+
     def is_outdated(self, entry: BackendServerEntry) -> bool:
         """Return whether an entry is older than what is known of its server.
 
--- a/packages/stoattray-core/src/stoattray_core/steering/silence_detector.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/silence_detector.py
@@ -120,6 +120,10 @@
         until = self._cut_off_until.get(server.entry.data_centre)
         return until is not None and now < until
 
+    def cut_off_until(self, data_centre: str) -> Millis:
+        """Return until when a whole data centre is suspect; 0 if it is not."""
+        return self._cut_off_until.get(data_centre, 0)
+
     def _note_silent_server(self, data_centre: str, now: Millis) -> None:
         if data_centre == self._data_centre:
             return
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -21,7 +21,11 @@
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.entries import Configuration, MemberEntry
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
-from stoattray_core.steering.flow_placement import FlowPlacement
+from stoattray_core.steering.flow_placement import (
+    DEFERRED,
+    OVERLOADED,
+    FlowPlacement,
+)
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
@@ -35,6 +39,8 @@
 from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.silence_detector import SilenceDetector
 from stoattray_core.steering.store_health import StoreHealth
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
+from stoattray_core.steering.warm_up_limit import WarmUpLimit
 
 MAX_TICK_GAP_MILLIS = 200
 """A longer gap between two ticks means that this process was paused, so openings
@@ -61,8 +67,6 @@
 """Target latencies for which a request counts as pending. Admission control keeps
 responses faster, so an older one was most likely answered unseen."""
 
-OVERLOADED = Refused(ErrorKind.OVERLOADED)
-DEFERRED = Refused(ErrorKind.DEFERRED)
 NOT_READY = Refused(ErrorKind.NOT_READY)
 UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
 POSSIBLY_OPEN = Refused(ErrorKind.NO_OWNER)
@@ -80,6 +84,8 @@
         Decodes records.
     flow_life_millis : Millis
         Longest duration of a flow; cookies of removed servers stay valid as long.
+    warm_up_bounds : WarmUpBounds or None
+        Allowance for cold servers; None if openings for them are not limited.
     random : Random
         Breaks ties.
     on_event : EventSink
@@ -94,13 +100,26 @@
         flow_life_millis: Millis,
         random: Random,
         on_event: EventSink,
+        warm_up_bounds: WarmUpBounds | None = None,
     ) -> None:
+        self.counters: Counter[str] = Counter()
+        self.warm_up = WarmUpLimit(
+            own.name,
+            warm_up_bounds,
+            configuration=lambda: self.cluster_state.configuration,
+            evacuation_ended_at=lambda data_centre: None,
+            counters=self.counters,
+            on_event=on_event,
+        )
         self.members = MemberTable(own, random)
         self.servers = ServerTable(flow_life_millis, own.data_centre)
         self.cluster_state = ClusterState(
-            self.servers, self.members, decoder=decoder, on_event=on_event
+            self.servers,
+            self.members,
+            warm_up=self.warm_up,
+            decoder=decoder,
+            on_event=on_event,
         )
-        self.counters: Counter[str] = Counter()
         self.follow_up_times = Histogram()
         self._random = random
         self._on_event = on_event
@@ -119,6 +138,7 @@
             self.cluster_state,
             ServerSelector(own.data_centre, self._silence_detector, random),
             self._admission,
+            warm_up=self.warm_up,
             service_time=self._service_time,
             counters=self.counters,
             random=random,
@@ -171,10 +191,32 @@
         """Return how long ago the replica was confirmed complete; `now` if never."""
         return self.cluster_state.confirmed_age(now)
 
+    def reported_age(self, now: Millis) -> Millis:
+        """Return the age of the confirmation that peers may rely on.
+
+        With a limit for cold servers they rely on it for ownership, too, so a report
+        that was queued during a pause here must not make them confirm theirs.
+        """
+        if self.warm_up.is_active:
+            return self.warm_up.confirmation.age(now)
+        return self.confirmed_age(now)
+
     def confirm_replica(self, at: Millis) -> None:
         """Note that the replica was complete at a time."""
         self.cluster_state.confirm_replica(at)
 
+    def confirm_by_watch(
+        self, started_at: Millis, now: Millis, wait_millis: Millis
+    ) -> None:
+        """Note the answer to a watch of the store, of at most `wait_millis`."""
+        self.confirm_replica(now)
+        self.warm_up.confirmation.confirm_by_watch(started_at, now, wait_millis)
+
+    def confirm_by_snapshot(self, started_at: Millis) -> None:
+        """Note a snapshot of the store that was requested at a time."""
+        self.confirm_replica(started_at)
+        self.warm_up.confirmation.confirm(started_at)
+
     def failing_cookies(self, now: Millis) -> tuple[int, ...]:
         """Return cookies of servers that this balancer itself found to be failing."""
         return self._failure_detector.failing_cookies(now)
@@ -196,27 +238,63 @@
         """Apply changes from the store or a peer."""
         self.cluster_state.apply(difference, now)
 
-    def apply_heartbeat(self, heartbeat: Heartbeat, now: Millis) -> bool:
-        """Apply a heartbeat; return whether its sender is new or had been silent."""
+    def apply_heartbeat(
+        self, heartbeat: Heartbeat, now: Millis, *, is_response: bool = False
+    ) -> bool:
+        """Apply a heartbeat; return whether its sender is new or had been silent.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            The heartbeat.
+        now : Millis
+            Current time.
+        is_response : bool
+            Whether it came with requested changes, which may have taken long.
+        """
         was_silent = self.members.receive_heartbeat(heartbeat, now)
         self._peer_reports.apply(heartbeat, now)
         if heartbeat.recovery_age is not None:
             self.store_health.note_peer_recovery(heartbeat.recovery_age, now)
         # Two empty replicas (revision 0) must not confirm each other.
         if heartbeat.revision > 0 and heartbeat.version == self.replica.version:
-            self.confirm_replica(now - heartbeat.confirmed_age)
+            at = now - heartbeat.confirmed_age
+            self.confirm_replica(at)
+            if not is_response:
+                self.warm_up.confirmation.confirm_by_report(at, now)
         return was_silent
 
     def apply_peer_response(
-        self, heartbeat: Heartbeat, difference: Difference, now: Millis
+        self,
+        heartbeat: Heartbeat,
+        difference: Difference,
+        now: Millis,
+        *,
+        requested_at: Millis | None = None,
     ) -> None:
-        """Apply the changes that a peer sent because this balancer lacks them."""
-        self.apply_heartbeat(heartbeat, now)
+        """Apply the changes that a peer sent because this balancer lacks them.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            Heartbeat that came with the changes.
+        difference : Difference
+            The changes.
+        now : Millis
+            Current time.
+        requested_at : Millis or None
+            When the changes were requested, so that the response is not older; if it
+            is None the response confirms the ownership of no cold server.
+        """
+        self.apply_heartbeat(heartbeat, now, is_response=True)
         if difference.revision == 0 or difference.version < self.replica.version:
             return
         self.apply_changes(difference, now)
         if self.replica.version == difference.version:
             self.confirm_replica(now - heartbeat.confirmed_age)
+            if requested_at is not None:
+                at = requested_at - heartbeat.confirmed_age
+                self.warm_up.confirmation.confirm(at)
 
     def route_packet(self, packet: Packet, now: Millis) -> ServerRow | Refused:
         """Return the backend server for a packet, or why it is refused."""
@@ -241,6 +319,7 @@
         now : Millis
             Current time, from a clock that also runs while the VM is suspended.
         """
+        self.warm_up.confirmation.note_running(now)
         last_tick_at, self._last_tick_at = self._last_tick_at, now
         if last_tick_at is None or now - last_tick_at <= MAX_TICK_GAP_MILLIS:
             return
@@ -269,6 +348,7 @@
         for name in self.members.expire(now):
             self._on_event("member_silent", member=name)
         self.servers.expire(now)
+        self.warm_up.expire(now)
         self._response_monitor.expire_verdicts(now)
         self._peer_reports.retain(row.entry.name for row in self.members.live(now))
         idle = self.configuration.idle_timeout_millis if self.configuration else 0
@@ -280,7 +360,7 @@
         self, packet: Packet, flow: FlowRow | None, now: Millis
     ) -> ServerRow | Refused:
         if flow is not None and flow.is_established:
-            return flow.server
+            return self._repeat_opening(flow, now)
         if not self.is_ready:
             return NOT_READY
         if now < self._drop_openings_until:
@@ -301,6 +381,7 @@
                 if flow is not None or packet.n_retransmissions
                 else server
             )
+        self.warm_up.note_opening(server, now)
         if flow is None:
             self._open(packet, server, now)
         else:
@@ -308,6 +389,17 @@
             flow.last_packet_at = now
         return server
 
+    def _repeat_opening(self, flow: FlowRow, now: Millis) -> ServerRow | Refused:
+        """Return the server for the repeated opening of an established flow.
+
+        Its caller has seen the answer, so nothing is lost if a cold server, which may
+        have started again meanwhile, does not get it.
+        """
+        current = self.servers.get(flow.server.name) or flow.server
+        if not self.warm_up.try_forward(current, now):
+            return POSSIBLY_OPEN
+        return flow.server
+
     def _service_time(self, service: str) -> float | None:
         """Return a service's time in ms without the round trip, or None if unknown."""
         millis = self._response_monitor.service_time(service)
@@ -395,6 +487,8 @@
         waited_millis = now - flow.sent_at if len(flow.tried_servers) == 1 else None
         if waited_millis is not None:
             self.follow_up_times.observe(waited_millis)
+        was_silent = flow.server.n_silent > 0
+        self.warm_up.cold_servers.note_answer(flow.server, now, was_silent=was_silent)
         if self._silence_detector.note_follow_up(flow.server, waited_millis, now):
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.establish(flow)
@@ -415,11 +509,14 @@
                 n_silent=silent.n_silent,
                 heard_age_ms=now - silent.record_received_at,
             )
+        cut_off_until = self._silence_detector.cut_off_until(silent.entry.data_centre)
+        self.warm_up.cold_servers.note_silence(silent, cut_off_until, now)
         if len(flow.tried_servers) >= MAX_SERVERS_TRIED or flow.opening is None:
             return None
         server = self._placement.select(flow.destination, now, flow.tried_servers)
         if not isinstance(server, ServerRow) or server in flow.tried_servers:
             return None
+        self.warm_up.note_opening(server, now)
         self.counters["openings_tried_again"] += 1
         self._on_event(
             "opening_tried_again",
--- a/tests/balancer/steering/test_settings.py
+++ b/tests/balancer/steering/test_settings.py
@@ -7,6 +7,7 @@
 
 from stoattray_balancer.steering.settings import load_steering_settings
 from stoattray_core._errors import ErrorKind, StoattrayError
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
 
 VALID_SETTINGS = {
     "member": "edge-1",
@@ -55,6 +56,31 @@
         )
         self.assertEqual(settings.advertised_host, "10.9.0.1")
 
+    def test_warm_up_bounds_are_optional(self):
+        """Guards against a limit that nobody asked for, and a lost one."""
+        settings = self.load(json.dumps(VALID_SETTINGS))
+        self.assertIsNone(settings.warm_up_bounds)
+        figures = {"warm_up_overage": 1.5, "warm_up_slack": 5}
+        settings = self.load(json.dumps({**VALID_SETTINGS, **figures}))
+        self.assertEqual(settings.warm_up_bounds, WarmUpBounds(1.5, 5.0))
+
+    def test_warm_up_bounds_are_both_valid_or_refused(self):
+        """Guards against a limit from half of the figures, or out of range."""
+        cases = (
+            {"warm_up_overage": 1.5},
+            {"warm_up_slack": 5},
+            {"warm_up_overage": -0.1, "warm_up_slack": 5},
+            {"warm_up_overage": "1.5", "warm_up_slack": 5},
+            {"warm_up_overage": 1.5, "warm_up_slack": True},
+            {"warm_up_overage": 1.5, "warm_up_slack": 1e7},
+            {"warm_up_overage": 1.5, "warm_up_slack": float("nan")},
+            {"warm_up_overage": 1.5, "warm_up_slack": None},
+        )
+        for figures in cases:
+            with self.subTest(figures), self.assertRaises(StoattrayError) as raised:
+                self.load(json.dumps({**VALID_SETTINGS, **figures}))
+            self.assertIn("warm_up_", raised.exception.reason)
+
     def test_error_of_an_invalid_value_names_the_setting(self):
         changes = (
             {"peer_port": 0},
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -17,6 +17,7 @@
 from stoattray_core.steering.replica import Difference, Record, Version
 from stoattray_core.steering.servers import ServerRow
 from stoattray_core.steering.steering import Steering
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
 
 LOOKUP_DESTINATION = b"\xc6\x12\x00\x01\x20\xfb"
 UNKNOWN_DESTINATION = b"\xc6\x12\x00\x09\x20\xfb"
@@ -142,6 +143,8 @@
         Seed of its random choices.
     decoder : EntryDecoder or None
         Decoder of the store's records; a new one by default.
+    warm_up_bounds : WarmUpBounds or None
+        Allowance for cold servers; None if openings for them are not limited.
     """
 
     def __init__(
@@ -150,6 +153,7 @@
         data_centre: str = "luzon-a",
         seed: float = 1,
         decoder: EntryDecoder | None = None,
+        warm_up_bounds: WarmUpBounds | None = None,
     ) -> None:
         self.now = START_MILLIS
         self.recorder = EventRecorder()
@@ -161,19 +165,27 @@
             flow_life_millis=FLOW_LIFE_MILLIS,
             random=Random(seed),
             on_event=self.recorder,
+            warm_up_bounds=warm_up_bounds,
         )
+        self._warm_up_bounds = warm_up_bounds
         self._revision = 0
 
     def restarted(self, seed: float) -> "Balancer":
         """Return a new process of this balancer that has read the same store."""
-        balancer = Balancer(self.own.name, self.own.data_centre, seed, self.decoder)
+        balancer = Balancer(
+            self.own.name,
+            self.own.data_centre,
+            seed,
+            self.decoder,
+            self._warm_up_bounds,
+        )
         balancer.now = self.now
         balancer._revision = self._revision
         balancer.steering.store_health.note_response(self.now)
         balancer.steering.apply_changes(
             self.steering.replica.changes_since(Version(0, 0)), self.now
         )
-        balancer.steering.confirm_replica(self.now)
+        balancer.steering.confirm_by_snapshot(self.now)
         return balancer
 
     def declare(self, *entries: Entry | Refused, key: str | None = None) -> None:
@@ -192,7 +204,7 @@
     def apply_record(self, record: Record) -> None:
         """Apply one record from the store."""
         self.steering.store_health.note_response(self.now)
-        self.steering.confirm_replica(self.now)
+        self.steering.confirm_by_snapshot(self.now)
         self.steering.apply_changes(
             Difference(record.revision, [record], False), self.now
         )
@@ -244,6 +256,8 @@
 def _key(entry: Entry | Refused) -> str:
     if isinstance(entry, Configuration):
         return "configuration"
+    if isinstance(entry, MemberEntry):
+        return f"members/{entry.name}"
     if isinstance(entry, BackendServerEntry):
         return f"servers/{entry.name}"
     return "members/x"
