--- a/tests/core/steering/test_ownership.py
+++ b/tests/core/steering/test_ownership.py
@@ -105,11 +105,13 @@
         """Guards against a remote owner while the last local one may still send."""
         self.put("edge-1")
         self.put("edge-2", data_centre="luzon-b")
-        server = server_entry(data_centre="luzon-b")
-        self.assertEqual(self.holders(server, LATER), ["edge-2"])
+        servers = [server_entry(f"i-{n:02x}", data_centre="luzon-b") for n in range(20)]
+        for server in servers:
+            self.assertEqual(self.holders(server, LATER), ["edge-2"])
         self.remove("edge-2", now=10_000)
-        self.assertEqual(self.owner(server), "edge-1")
-        self.assertEqual(self.holders(server, 9_999 + LATER), [])
+        for server in servers:
+            self.assertEqual(self.owner(server), "edge-1")
+            self.assertEqual(self.holders(server, 9_999 + LATER), [])
 
     def test_the_owner_by_the_earlier_start_counts_for_the_gap(self):
         """Guards against two owners while some balancers lack the new record."""
--- a/tests/core/steering/test_warm_up_budget.py
+++ b/tests/core/steering/test_warm_up_budget.py
@@ -7,6 +7,7 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import Route, WarmUp
 from stoattray_core.steering.ownership import OWNERSHIP_GAP_MILLIS
+from stoattray_core.steering.replica import Record
 from stoattray_core.steering.servers import N_LOCAL_CANDIDATES, ServerRow
 from stoattray_core.steering.warm_up_budget import (
     WINDOW_MILLIS,
@@ -129,22 +130,14 @@
 
     def test_a_retry_by_the_tick_counts(self):
         """Guards against retries at another server that bypass the budget."""
-        warm = next(
-            name for name in ("i-f1", "i-f2", "i-f3", "i-f4") if name != self.name
-        )
-        self.balancer.declare(server_entry(warm))
-        limit = self.balancer.steering.warm_up
-        limit.budgets.note_opening(self.row, self.balancer.now)
-        warm_row = self.balancer.steering.servers.get(warm)
-        n_warm = 0
-        port = 40_000
-        while n_warm < 20:
-            port += 1
-            n_warm += self.balancer.open(port) is warm_row
-        resent = self.balancer.advance(300)
-        n_sent = sum(server is self.row for server, _ in resent)
-        n_opened = port - 40_000 - n_warm
-        self.assertLessEqual(1 + n_opened + n_sent, LIMIT)
+        self.balancer.declare(server_entry("i-f0"))
+        budgets = self.balancer.steering.warm_up.budgets
+        for _ in range(LIMIT):
+            budgets.note_opening(self.row, self.balancer.now + 20 - WINDOW_MILLIS)
+        for result in open_many(self.balancer, 20):
+            self.assertEqual(result.name, "i-f0")
+        resent = self.balancer.advance(100)
+        self.assertEqual([server for server, _ in resent], [self.row] * LIMIT)
 
     def test_a_repeated_opening_of_an_established_flow_counts(self):
         """Guards against old openings that a server that started again takes."""
@@ -172,6 +165,19 @@
         settle(self.balancer, 100)
         self.assertIsNone(self.withheld())
 
+    def test_new_owner_waits_for_the_gap(self):
+        """Guards against a handover while the previous owner may still send."""
+        name = owned_name(self.balancer, is_owned=False)
+        self.row = declare_cold(self.balancer, name, warmup_remaining_millis=60_000)
+        self.assertIs(self.withheld(), WithheldReason.NOT_OWNER)
+        for other in ("edge-2", "edge-3"):
+            removal = Record(f"members/{other}", self.balancer.next_revision(), None)
+            self.balancer.apply_record(removal)
+        self.assertIs(self.withheld(), WithheldReason.GAP)
+        settle(self.balancer, OWNERSHIP_GAP_MILLIS + 1_000)
+        self.balancer.steering.remove_expired(self.balancer.now)
+        self.assertIsNone(self.withheld())
+
     def test_heartbeats_queued_during_a_pause_confirm_nothing(self):
         """Guards against a paused owner that wakes up and sends at once."""
         self.row.warm_at += 60_000
@@ -356,8 +362,9 @@
         self.assertFalse(self.may_open())
         self.balancer.now += 1_000
         cold_servers.note_answer(self.row, self.balancer.now, was_silent=False)
+        self.balancer.now += 100
         cold_servers.note_answer(self.row, self.balancer.now, was_silent=False)
-        self.balancer.now += 1_999
+        self.balancer.now += 1_899
         self.assertFalse(self.may_open())
         self.balancer.now += 1
         self.assertTrue(self.may_open())
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -201,6 +201,11 @@
         self._revision += 1
         self.apply_record(Record(f"servers/{name}", self._revision, None))
 
+    def next_revision(self) -> int:
+        """Return the revision of the next record from the store."""
+        self._revision += 1
+        return self._revision
+
     def apply_record(self, record: Record) -> None:
         """Apply one record from the store."""
         self.steering.store_health.note_response(self.now)
