--- a/packages/stoattray-core/src/stoattray_core/steering/replica.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/replica.py
@@ -103,6 +103,10 @@
         changed = [record for record in difference.records if self._apply(record)]
         if difference.is_snapshot:
             changed.extend(self._delete_missing(difference))
+            # A snapshot doesn't name the keys that were deleted before it.
+            self._compacted_revision = max(
+                self._compacted_revision, difference.revision
+            )
         self._revision = max(self._revision, difference.revision)
         return changed
 
--- a/tests/core/steering/test_replica.py
+++ b/tests/core/steering/test_replica.py
@@ -58,6 +58,15 @@
         self.assertEqual(changes.records, [Record("a", 3, None)])
         self.assertFalse(changes.is_snapshot)
 
+    def test_deletions_before_a_snapshot_reach_a_peer_that_is_behind(self):
+        """Guards against records that stay forever after a peer's restart."""
+        behind = Replica()
+        behind.merge(difference(2, Record("a", 1, b""), Record("b", 2, b"")))
+        self.replica.merge(difference(4, Record("b", 2, b""), is_snapshot=True))
+        behind.merge(self.replica.changes_since(behind.version))
+        self.assertEqual(behind.version, self.replica.version)
+        self.assertIsNone(behind.get("a"))
+
     def test_evicted_tombstones_make_the_difference_a_snapshot(self):
         limit = replica_module.MAX_TOMBSTONES
         for revision in range(1, limit + 3):
