--- a/packages/stoattray-core/src/stoattray_core/steering/owner_confirmation.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/owner_confirmation.py
@@ -23,6 +23,10 @@
 """Time after a pause for which received reports count as queued. The socket holds some
 400 heartbeats, which take less time to read; the next one arrives 0.2 s later."""
 
+REPORT_DELAY_MILLIS = 50
+"""Delay that is assumed for a report. Without it, balancers that reach only each other
+would confirm each other for longer, by the delay of each report."""
+
 LATE_ANSWER_MILLIS = 200
 """Time that the answer to a watch may take beyond the watch's wait time and still
 confirm the replica as of its arrival. It is part of the 1,300 ms that the ownership gap
@@ -74,13 +78,13 @@
         Parameters
         ----------
         at : Millis
-            When the replica was complete if the report was not queued.
+            When the replica was complete if the report took no time.
         now : Millis
             When the report was read.
         """
         woke_at = self._woke_at
         if woke_at is None or now - woke_at >= QUEUED_REPORT_MILLIS:
-            self.confirm(at)
+            self.confirm(at - REPORT_DELAY_MILLIS)
 
     def confirm_by_watch(
         self, started_at: Millis, now: Millis, wait_millis: Millis
