proofs: ownership of a cold server's budget

Cause: that at most one balancer sends to a cold server rests on the gap, the confirmation, the age of reports and the gap after a time without confirmation together; single tests cannot show that each is needed.

Change: a specification with two balancers, a list that changes twice, and reports that were queued for any time. Five defects are seeded: two owners, no gap, an old list, queued reports that confirm, and no gap after a time without confirmation.

--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from proofs import bucket_moves, configuration, recovery, restored_store
+from proofs import bucket_moves, configuration, recovery, restored_store, warm_up
 from proofs.checker import check
 
 
@@ -97,3 +97,20 @@
                 model = restored_store.RestoredStore(defect)
                 result = check(model, restored_store.FORMULAS)
                 self.assertIn(formula, result.failed)
+
+
+class WarmUpTest(unittest.TestCase):
+    """Ownership of the budget of a cold server."""
+
+    def test_holds(self):
+        result = check(warm_up.WarmUp(), warm_up.FORMULAS)
+        self.assertEqual(result.failed, ())
+        self.assertGreater(result.n_states, 20_000)
+
+    def test_defects_are_detected(self):
+        for defect in warm_up.Defect:
+            if defect is warm_up.Defect.NONE:
+                continue
+            with self.subTest(defect):
+                result = check(warm_up.WarmUp(defect), warm_up.FORMULAS)
+                self.assertIn("A(G(not two_senders))", result.failed)
