--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -192,7 +192,7 @@
     ) -> None:
         before = self.servers.get(entry.name)
         was_draining = before is not None and before.entry.is_draining
-        earlier_start = self.servers.started_at(entry.name)
+        earlier_start = self.servers.earlier_start(entry, now)
         row = self.servers.put(entry, now)
         self._warm_up.note_server(row, earlier_start)
         has_changed = before is None or entry.is_draining != was_draining
--- a/packages/stoattray-core/src/stoattray_core/steering/ownership.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/ownership.py
@@ -59,13 +59,22 @@
         self._removed_at.setdefault(entry.data_centre, {})[entry.name] = now
         self._cached.clear()
 
-    def note_restart(self, name: str, earlier_start: int, now: Millis) -> None:
+    def note_restart(self, name: str, earlier_start: int, until: Millis) -> None:
         """Note that a server started again; the owner of its earlier start counts.
 
-        Balancers whose replica lacks the new record still choose the owner by the
-        earlier start.
+        Balancers whose replica lacks the new record, or the removal of the earlier one,
+        still choose the owner by the earlier start.
+
+        Parameters
+        ----------
+        name : str
+            The server.
+        earlier_start : int
+            Start time in its earlier record.
+        until : Millis
+            When the earlier record was removed or replaced here.
         """
-        self._earlier_starts.setdefault(name, []).append((earlier_start, now))
+        self._earlier_starts.setdefault(name, []).append((earlier_start, until))
 
     def owner(self, server: BackendServerEntry) -> str | None:
         """Return the owner of a server by the current list, or None without one."""
@@ -77,7 +86,11 @@
         if since is None or now - since < OWNERSHIP_GAP_MILLIS:
             return False
         starts = [server.started_at]
-        starts += [start for start, _ in self._earlier_starts.get(server.name, ())]
+        starts += [
+            start
+            for start, until in self._earlier_starts.get(server.name, ())
+            if now - until < OWNERSHIP_GAP_MILLIS
+        ]
         return all(
             self._first(server, start, include_removed=True) == self._own
             for start in starts
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -59,6 +59,8 @@
         Until when it may be cold without a record of it, as it answered after silence.
     presence : Presence
         Whether its record is in the store, lapsed or removed.
+    removed_at : Millis or None
+        When its record was removed; None while it is known.
     n_open : int
         Open flows that this balancer opened there.
     n_half_open : int
@@ -95,6 +97,7 @@
         "peer_reported_at",
         "presence",
         "record_received_at",
+        "removed_at",
         "response_millis",
         "slowdown",
         "suspect_until",
@@ -108,6 +111,7 @@
         self.presence = Presence.LISTED
         self.warm_at: Millis = 0
         self.maybe_cold_until: Millis = 0
+        self.removed_at: Millis | None = None
         self.record_received_at: Millis = 0
         self.last_established_at: Millis = 0
         self.suspect_until: Millis = 0
@@ -257,10 +261,18 @@
         self._lapsed.discard(entry.name)
         return row
 
-    def started_at(self, name: str) -> int | None:
-        """Return the start time of a known or recently removed server, or None."""
-        row = self._rows.get(name) or self._removed.get(name)
-        return None if row is None else row.entry.started_at
+    def earlier_start(
+        self, entry: BackendServerEntry, now: Millis
+    ) -> tuple[int, Millis] | None:
+        """Return the known start of a server that starts again, and until when.
+
+        The second value is when its record was removed, or `now` if it is still known.
+        The result is None if the entry is of the known start, or of a new server.
+        """
+        row = self._rows.get(entry.name) or self._removed.get(entry.name)
+        if row is None or row.entry.started_at == entry.started_at:
+            return None
+        return row.entry.started_at, now if row.removed_at is None else row.removed_at
 
     def is_outdated(self, entry: BackendServerEntry) -> bool:
         """Return whether an entry is older than what is known of its server.
@@ -330,6 +342,7 @@
 
     def _remove(self, row: ServerRow, now: Millis) -> None:
         row.presence = Presence.GONE
+        row.removed_at = now
         self._lapsed.discard(row.name)
         del self._rows[row.name]
         self._removed[row.name] = row
--- a/packages/stoattray-core/src/stoattray_core/steering/warm_up_limit.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/warm_up_limit.py
@@ -112,23 +112,24 @@
         has_warm_ups = configuration is not None and bool(configuration.warm_ups)
         return self.is_enabled and has_warm_ups
 
-    def note_server(self, server: ServerRow, earlier_start: int | None) -> None:
+    def note_server(
+        self, server: ServerRow, earlier_start: tuple[int, Millis] | None
+    ) -> None:
         """Note a server's new record.
 
         Parameters
         ----------
         server : ServerRow
             The server, with its new entry.
-        earlier_start : int or None
-            Start time in the record before; None if the server was not known.
+        earlier_start : tuple of (int, Millis) or None
+            Start time in its record before, and when that was removed or replaced;
+            None if the server did not start again.
         """
         if not self.is_enabled:
             return
         self.cold_servers.note_record(server)
-        if earlier_start not in (None, server.entry.started_at):
-            self.owners.note_restart(
-                server.name, earlier_start, server.record_received_at
-            )
+        if earlier_start is not None:
+            self.owners.note_restart(server.name, *earlier_start)
 
     def exclusion(self, service: str, now: Millis) -> ColdExclusion | None:
         """Return what excludes a service's cold servers; None if it has none."""
--- a/tests/core/steering/test_warm_up_budget.py
+++ b/tests/core/steering/test_warm_up_budget.py
@@ -178,6 +178,24 @@
         self.balancer.steering.remove_expired(self.balancer.now)
         self.assertIsNone(self.withheld())
 
+    def test_gap_after_a_restart_counts_from_the_removal_of_the_record(self):
+        """Guards against servers that nobody may use after a long stop."""
+        for stopped_millis, reason in ((4_400, WithheldReason.GAP), (4_500, None)):
+            with self.subTest(stopped_millis):
+                balancer = self.balancer = new_balancer()
+                owner = balancer.steering.warm_up.owners.owner
+                name = next(
+                    f"i-{number:02x}"
+                    for number in range(1, 200)
+                    if owner(server_entry(f"i-{number:02x}", started_at=1)) != "edge-1"
+                    and owner(server_entry(f"i-{number:02x}", started_at=2)) == "edge-1"
+                )
+                balancer.declare(server_entry(name, started_at=1))
+                balancer.remove(name)
+                settle(balancer, stopped_millis)
+                self.row = declare_cold(balancer, name, started_at=2)
+                self.assertIs(self.withheld(), reason)
+
     def test_heartbeats_queued_during_a_pause_confirm_nothing(self):
         """Guards against a paused owner that wakes up and sends at once."""
         self.row.warm_at += 60_000
