--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -1,5 +1,6 @@
 """Pulling snapshots from peers: slow, stalled and concurrent transfers."""
 
+import socket
 import time
 import unittest
 from contextlib import contextmanager, suppress
@@ -18,6 +19,7 @@
     SyncRequest,
     decode_sync_request,
     encode_difference,
+    encode_heartbeat,
 )
 from stoattray_balancer.steering.peers import (
     MAX_CONCURRENT_SNAPSHOTS,
@@ -111,6 +113,48 @@
             self.balancer.recorder.names(), ["configuration_in_force", "copy_taken"]
         )
 
+    def test_pull_confirms_ownership_as_of_its_request(self):
+        """Guards against an owner that trusts a response that took seconds."""
+
+        def serve(connection, _):
+            receive_exactly(connection, receive_frame_length(connection))
+            self.balancer.now += 3_000
+            report = heartbeat(revision=9, confirmed_age=100)
+            data = encode_difference(report, self.snapshot, may_compress=False)
+            connection.sendall(len(data).to_bytes(4) + data)
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        self.peers._pull(server.address)
+        steering, now = self.balancer.steering, self.balancer.now
+        self.assertEqual(steering.confirmed_age(now), 100)
+        self.assertEqual(steering.warm_up.confirmation.age(now), 3_100)
+
+    def receive(self, report):
+        """Let the balancer read a heartbeat from its socket."""
+        port = self.peers._socket.getsockname()[1]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(encode_heartbeat(report), ("127.0.0.1", port))
+        self.peers._receive_datagrams()
+
+    def test_heartbeats_read_after_a_pause_confirm_no_ownership(self):
+        """Guards against an owner that wakes up and trusts queued heartbeats."""
+        steering = self.balancer.steering
+        steering.apply_changes(self.snapshot, self.balancer.now)
+        steering.confirm_by_snapshot(self.balancer.now)
+        report = heartbeat(revision=9)
+        self.receive(report)
+        self.balancer.now += 150
+        self.receive(report)
+        now = self.balancer.now
+        self.assertLess(steering.warm_up.confirmation.age(now), 150)
+        self.balancer.now += 5_000
+        self.receive(report)
+        now = self.balancer.now
+        self.assertEqual(steering.confirmed_age(now), 0)
+        self.assertGreaterEqual(steering.warm_up.confirmation.age(now), 5_000)
+
     def test_peer_without_progress_is_abandoned(self):
         started_at = time.monotonic()
         with self.peer(0.1, stalls=True) as address:
--- a/tests/balancer/steering/test_store_reader.py
+++ b/tests/balancer/steering/test_store_reader.py
@@ -85,6 +85,49 @@
         self.assertEqual(self.balancer.recorder.names().count("store_lost"), 1)
         self.assertFalse(self.reader.is_reading)
 
+    def confirmed_ages(self, watch_millis, runs_every_millis):
+        """Return the age for drains and the one for ownership after a watch."""
+        self.first_read()
+        steering = self.balancer.steering
+        steering.detect_pause(self.balancer.now)
+
+        def watch(revision, wait_ms):
+            for _ in range(watch_millis // runs_every_millis):
+                self.balancer.now += runs_every_millis
+                steering.detect_pause(self.balancer.now)
+            self.balancer.now += watch_millis % runs_every_millis
+            return Difference(9, [], False)
+
+        self.store.watch = watch
+        self.reader._read_once()
+        now = self.balancer.now
+        return steering.confirmed_age(now), steering.warm_up.confirmation.age(now)
+
+    def test_answer_to_a_watch_confirms_ownership_as_of_its_arrival(self):
+        """Guards against readers that own no server for most of the time."""
+        self.assertEqual(self.confirmed_ages(1_010, 50), (0, 0))
+
+    def test_late_answer_confirms_ownership_as_of_the_start(self):
+        """Guards against an owner that trusts an answer from a slow connection."""
+        self.assertEqual(self.confirmed_ages(1_300, 50), (0, 1_300))
+
+    def test_answer_that_waited_in_a_pause_confirms_as_of_the_start(self):
+        """Guards against an owner that wakes up and trusts an old answer."""
+        self.assertEqual(self.confirmed_ages(900, 901), (0, 900))
+
+    def test_snapshot_confirms_ownership_as_of_its_request(self):
+        """Guards against pages that were read long after the first one."""
+        record = self.balancer.decoder.record("configuration", 4, configuration())
+
+        def read_all():
+            self.balancer.now += 700
+            return Difference(9, [record], True)
+
+        self.store.read_all = read_all
+        self.reader._read_once()
+        age = self.balancer.steering.warm_up.confirmation.age(self.balancer.now)
+        self.assertEqual(age, 700)
+
     def test_recovery_of_the_store_is_logged(self):
         self.first_read()
         self.respond(watch=[UNAVAILABLE, Difference(9, [], False)])
--- a/tests/operator/test_logs.py
+++ b/tests/operator/test_logs.py
@@ -48,6 +48,22 @@
         tried = output.index("opening_tried_again")
         self.assertLess(silent, tried)
 
+    def test_explain_of_a_server_shows_why_openings_were_withheld(self):
+        """Guards against a cold server that gets nothing without a reason."""
+        line = (
+            "edge-luzon-a-1 time=2026-02-01T05:39:48.696Z level=info "
+            "event=warm_up_limited server=i-74394e08e5 owner=edge-luzon-a-2 "
+            "reason=gap n_left=0 confirmed_age_ms=310\n"
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "edge-luzon-a-1.log")
+            path.write_text(line)
+            status, output, _ = self.run_command("explain", "i-74394e08e5", str(path))
+        self.assertEqual(status, 0)
+        self.assertIn("* ", output)
+        self.assertIn("warm_up_limited", output)
+        self.assertIn("reason=gap", output)
+
     def test_explain_of_an_unknown_flow_is_an_error(self):
         status, output, errors = self.run_command("explain", "1.2.3.4:5", str(LOG))
         self.assertNotEqual(status, 0)
