core: no list of owners is kept without a limit

Cause: every balancer kept the list of members for ownership, also where the settings have no limit, and cached owners had no bound.

Change: members are only noted with a limit; at most 4,096 owners are cached.

Measured: the tests of the warm-up limit, steering, servers and restored store pass.

--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -153,7 +153,7 @@
             self._apply_server(entry, record, now, logs_change=logs_change)
         elif isinstance(entry, MemberEntry):
             self.members.discover(entry, now)
-            self._warm_up.owners.put_member(record.key, entry, now)
+            self._warm_up.put_member(record.key, entry, now)
         elif isinstance(entry, Refused):
             self.n_malformed += 1
             self._on_event(
@@ -207,7 +207,7 @@
             )
 
     def _apply_removal(self, record: Record, now: Millis) -> None:
-        self._warm_up.owners.remove_member(record.key, now)
+        self._warm_up.remove_member(record.key, now)
         name = self._decoder.backend_server_name(record.key)
         if name is None:
             return
--- a/packages/stoattray-core/src/stoattray_core/steering/ownership.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/ownership.py
@@ -21,6 +21,9 @@
 """Wait of a new owner: 2,200 ms for which the previous one may still assume that it is
 the owner, the window of 1,000 ms, and 1,300 ms for reports that arrive late."""
 
+MAX_CACHED_OWNERS = 4_096
+"""Bound of the cached owners; each start of a server adds at most two."""
+
 
 class OwnerTable:
     """Listed balancers, and the owners of servers by them.
@@ -99,6 +102,8 @@
     def expire(self, now: Millis) -> None:
         """Remove what is older than `OWNERSHIP_GAP_MILLIS`."""
         oldest = now - OWNERSHIP_GAP_MILLIS
+        if len(self._cached) > MAX_CACHED_OWNERS:
+            self._cached.clear()
         for data_centre, removed_at in list(self._removed_at.items()):
             kept = {name: at for name, at in removed_at.items() if at > oldest}
             if len(kept) < len(removed_at):
--- a/packages/stoattray-core/src/stoattray_core/steering/warm_up_limit.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/warm_up_limit.py
@@ -8,7 +8,7 @@
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.cold_servers import ColdServers
-from stoattray_core.steering.entries import Configuration, WarmUp
+from stoattray_core.steering.entries import Configuration, MemberEntry, WarmUp
 from stoattray_core.steering.owner_confirmation import OwnerConfirmation
 from stoattray_core.steering.ownership import OwnerTable
 from stoattray_core.steering.protocols import EventSink
@@ -112,6 +112,16 @@
         has_warm_ups = configuration is not None and bool(configuration.warm_ups)
         return self.is_enabled and has_warm_ups
 
+    def put_member(self, key: str, entry: MemberEntry, now: Millis) -> None:
+        """Note a balancer's record."""
+        if self.is_enabled:
+            self.owners.put_member(key, entry, now)
+
+    def remove_member(self, key: str, now: Millis) -> None:
+        """Note that a record was removed, which may be a balancer's."""
+        if self.is_enabled:
+            self.owners.remove_member(key, now)
+
     def note_server(
         self, server: ServerRow, earlier_start: tuple[int, Millis] | None
     ) -> None:
