--- a/tests/core/steering/test_warm_up_schedules.py
+++ b/tests/core/steering/test_warm_up_schedules.py
@@ -23,7 +23,7 @@
     server_entry,
 )
 
-N_SCHEDULES = int(os.environ.get("STOATTRAY_SCHEDULES", "25"))
+N_SCHEDULES = int(os.environ.get("STOATTRAY_SCHEDULES", "30"))
 STEP_MILLIS = 25
 FAULTY_MILLIS = 40_000
 QUIET_MILLIS = 12_000
