--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -34,6 +34,7 @@
     ServerTable,
 )
 from stoattray_core.steering.store_health import StoreHealth
+from stoattray_core.steering.warm_up_limit import WarmUpLimit
 
 
 class ClusterState:
@@ -47,6 +48,8 @@
         Other balancers.
     evacuations : Evacuations
         Evacuated data centres.
+    warm_up : WarmUpLimit
+        Learns which balancers are listed, and the records of servers.
     decoder : RecordDecoder
         Decodes records.
     on_event : EventSink
@@ -59,6 +62,7 @@
         members: MemberTable,
         evacuations: Evacuations,
         *,
+        warm_up: WarmUpLimit,
         decoder: RecordDecoder,
         on_event: EventSink,
     ) -> None:
@@ -70,6 +74,7 @@
         self.n_malformed = 0
         self.n_restored = 0
         self.evacuation_changes: Counter[str] = Counter()
+        self._warm_up = warm_up
         self._decoder = decoder
         self._on_event = on_event
         self._configuration: Configuration | None = None
@@ -163,6 +168,7 @@
             self._apply_server(entry, record, now, logs_change=logs_change)
         elif isinstance(entry, MemberEntry):
             self.members.discover(entry, now)
+            self._warm_up.put_member(record.key, entry, now)
         elif isinstance(entry, Refused):
             self.n_malformed += 1
             self._on_event(
@@ -201,7 +207,9 @@
     ) -> None:
         before = self.servers.get(entry.name)
         was_draining = before is not None and before.entry.is_draining
-        self.servers.put(entry, now)
+        earlier_start = self.servers.earlier_start(entry, now)
+        row = self.servers.put(entry, now)
+        self._warm_up.note_server(row, earlier_start)
         has_changed = before is None or entry.is_draining != was_draining
         if has_changed and logs_change:
             self._on_event(
@@ -282,6 +290,7 @@
             )
 
     def _apply_removal(self, record: Record, now: Millis) -> None:
+        self._warm_up.remove_member(record.key, now)
         name = self._decoder.backend_server_name(record.key)
         if name is None:
             return
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -6,7 +6,7 @@
 again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 from random import Random
 
@@ -56,8 +56,12 @@
     ----------
     warm_at : Millis
         When its warm-up ends.
+    maybe_cold_until : Millis
+        Until when it may be cold without a record of it, as it answered after silence.
     presence : Presence
         Whether its record is in the store, lapsed or removed.
+    removed_at : Millis or None
+        When its record was removed; None while it is known.
     n_open : int
         Open flows that this balancer opened there.
     n_half_open : int
@@ -82,6 +86,7 @@
         "fast_share",
         "last_established_at",
         "last_sample_at",
+        "maybe_cold_until",
         "n_half_open",
         "n_open",
         "n_peer_requests",
@@ -93,6 +98,7 @@
         "peer_reported_at",
         "presence",
         "record_received_at",
+        "removed_at",
         "response_millis",
         "slowdown",
         "suspect_until",
@@ -105,6 +111,8 @@
         self.address = entry.address
         self.presence = Presence.LISTED
         self.warm_at: Millis = 0
+        self.maybe_cold_until: Millis = 0
+        self.removed_at: Millis | None = None
         self.record_received_at: Millis = 0
         self.last_established_at: Millis = 0
         self.suspect_until: Millis = 0
@@ -218,11 +226,31 @@
         n_flows = sum(row.n_open + row.peer_load for row in rows)
         return n_flows > sum(row.capacity(now) for row in rows)
 
-    def candidates(self, service: str, random: Random) -> list[ServerRow]:
-        """Return a bounded number of servers of a service to select from."""
+    def candidates(
+        self,
+        service: str,
+        random: Random,
+        is_excluded: Callable[[ServerRow], bool] | None = None,
+    ) -> list[ServerRow]:
+        """Return a bounded number of servers of a service to select from.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        random : Random
+            Draws the servers.
+        is_excluded : callable or None
+            Tells which servers to leave out. They are left out before the bounded
+            number is taken, so that they do not displace others.
+        """
         local, remote = self._usable_rows(service)
-        window = _random_window(local, N_LOCAL_CANDIDATES, random)
-        return window + _random_window(remote, N_REMOTE_CANDIDATES, random)
+        if is_excluded is not None:
+            local = [row for row in local if not is_excluded(row)]
+            remote = [row for row in remote if not is_excluded(row)]
+        return _random_window(local, N_LOCAL_CANDIDATES, random) + _random_window(
+            remote, N_REMOTE_CANDIDATES, random
+        )
 
     def is_evacuated(self, server: ServerRow) -> bool:
         """Return whether the data centre of a server is evacuated."""
@@ -260,6 +288,19 @@
         self._lapsed.discard(entry.name)
         return row
 
+    def earlier_start(
+        self, entry: BackendServerEntry, now: Millis
+    ) -> tuple[int, Millis] | None:
+        """Return the known start of a server that starts again, and until when.
+
+        The second value is when its record was removed, or `now` if it is still known.
+        The result is None if the entry is of the known start, or of a new server.
+        """
+        row = self._rows.get(entry.name) or self._removed.get(entry.name)
+        if row is None or row.entry.started_at == entry.started_at:
+            return None
+        return row.entry.started_at, now if row.removed_at is None else row.removed_at
+
     def is_outdated(self, entry: BackendServerEntry) -> bool:
         """Return whether an entry is older than what is known of its server.
 
@@ -330,6 +371,7 @@
     def _remove(self, row: ServerRow, now: Millis) -> None:
         self._usable.clear()
         row.presence = Presence.GONE
+        row.removed_at = now
         self._lapsed.discard(row.name)
         del self._rows[row.name]
         self._removed[row.name] = row
