core: forward to a far data centre only as far as it helps callers

Cause: a server in another data centre costs a constant 0.75 flows per slot more, whatever the distance and the local queue. Balancers hear from each remote balancer only every few seconds, so remote servers look empty.

Change, with the setting `remote_traffic` only: the extra round trip to each data centre is measured by follow-up times. To data centres at least `min_round_trip_ms` away an opening leaves if the expected response time is lower there and the local one is above half of the target latency, the queue is about to be full, or no local server is usable; and only within the balancer's share of the spare capacity that load reports in heartbeats show.

The queue is judged by the work that this balancer has sent to its share of the local slots, corrected by reports.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -17,6 +17,7 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.load_reports import MAX_ROWS, LoadRow
 from stoattray_core.steering.replica import Difference, Record, Version
 
 FORMAT_VERSION = 1
@@ -26,6 +27,9 @@
 similar: a snapshot of 3,000 servers shrinks to a tenth in 4 ms."""
 
 COMPRESSION_LEVEL = 1
+LOAD_UNITS = 10
+"""Loads and capacities are sent as whole tenths of requests and slots."""
+
 ZLIB_PREFIX = b"\x78"
 """First byte of a compressed difference (zlib header); uncompressed ones start with the
 msgpack tag of an array."""
@@ -35,22 +39,23 @@
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Return a heartbeat as a datagram."""
-    return msgpack.packb(
-        [
-            FORMAT_VERSION,
-            _member_row(heartbeat.member),
-            heartbeat.is_ready,
-            heartbeat.is_reader,
-            heartbeat.revision,
-            heartbeat.confirmed_age,
-            heartbeat.recovery_age,
-            heartbeat.pending_requests,
-            [_member_row(entry) for entry in heartbeat.live_members],
-            heartbeat.failing_cookies,
-            heartbeat.first_reader,
-            heartbeat.era,
-        ]
-    )
+    row = [
+        FORMAT_VERSION,
+        _member_row(heartbeat.member),
+        heartbeat.is_ready,
+        heartbeat.is_reader,
+        heartbeat.revision,
+        heartbeat.confirmed_age,
+        heartbeat.recovery_age,
+        heartbeat.pending_requests,
+        [_member_row(entry) for entry in heartbeat.live_members],
+        heartbeat.failing_cookies,
+        heartbeat.first_reader,
+        heartbeat.era,
+    ]
+    if heartbeat.load_rows:
+        row.append(_pack_load_rows(heartbeat.load_rows))
+    return msgpack.packb(row)
 
 
 def decode_heartbeat(data: bytes) -> Heartbeat | Refused:
@@ -71,6 +76,7 @@
         failing_cookies = row[9] if len(row) > 9 else ()
         first_reader = row[10] if len(row) > 10 else None
         era = row[11] if len(row) > 11 else 0
+        load_rows = row[12] if len(row) > 12 else ()
         if version != FORMAT_VERSION:
             return Refused(
                 ErrorKind.MESSAGE_BAD_VERSION, f"unsupported version {version!r}"
@@ -90,6 +96,7 @@
             failing_cookies=tuple(_read_number(cookie) for cookie in failing_cookies),
             first_reader=None if first_reader is None else _read_reader(first_reader),
             era=_read_number(era),
+            load_rows=_read_load_rows(load_rows),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
@@ -207,6 +214,29 @@
     return name, _read_number(age)
 
 
+def _pack_load_rows(rows: tuple[LoadRow, ...]) -> list[list[Any]]:
+    """Return rows by data centre, so that its name is sent once."""
+    packed: dict[str, list[Any]] = {}
+    for row in rows:
+        load, capacity = (round(n * LOAD_UNITS) for n in (row.load, row.capacity))
+        services = packed.setdefault(row.data_centre, [])
+        services.append([row.service, load, capacity, row.age])
+    return [[data_centre, *services] for data_centre, services in packed.items()]
+
+
+def _read_load_rows(packed: Any) -> tuple[LoadRow, ...]:
+    rows = []
+    for data_centre, *services in packed:
+        for service, load, capacity, age, *_ in services:
+            if not isinstance(data_centre, str) or not isinstance(service, str):
+                raise TypeError("names in a row of load must be strings")
+            load, capacity = (_read_number(n) / LOAD_UNITS for n in (load, capacity))
+            rows.append(
+                LoadRow(data_centre, service, load, capacity, _read_number(age))
+            )
+    return tuple(rows[:MAX_ROWS])
+
+
 def _read_number(value: Any) -> int:
     if type(value) is not int or value < 0:
         raise TypeError(f"{value!r} is not a non-negative integer")
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
@@ -30,7 +30,7 @@
 SUPPRESSED_REPORT_SECONDS = 5.0
 """Time between reports of how many lines were not written."""
 
-ROUTINE_EVENTS = frozenset({"flow_opened", "flow_ended"})
+ROUTINE_EVENTS = frozenset({"flow_opened", "flow_ended", "opening_left"})
 
 
 class EventLog:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/metrics.py
@@ -46,6 +46,17 @@
         yield f'{name}_total{{{label}="other"}} {other}'
 
 
+def format_pairs(
+    name: str, labels: tuple[str, str], counts: Mapping[tuple[str, str], int]
+) -> Iterator[str]:
+    """Yield the lines of a counter with two labels of few values each."""
+    for values, count in sorted(counts.items()):
+        pairs = ",".join(
+            f'{label}="{value}"' for label, value in zip(labels, values, strict=True)
+        )
+        yield f"{name}_total{{{pairs}}} {count}"
+
+
 def format_gauge(name: str, value: float | None) -> Iterator[str]:
     """Yield the line of a gauge, or nothing if `value` is None."""
     if value is not None:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/packet_forwarder.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/packet_forwarder.py
@@ -166,6 +166,8 @@
         packet = self._header_codec.rewrite_for_server(
             data, server.entry.label, server.cookie
         )
+        if self._steering.remote_traffic is not None:
+            self._steering.remote_traffic.note_packet(server, len(packet))
         self._send(packet, server.address)
 
     def _refuse(self, refused: Refused, data: bytes) -> None:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -208,8 +208,18 @@
             return None
         return peer.name if self._send_datagram(RELAY_PREFIX + data, peer) else None
 
-    def build_heartbeat(self, *, n_listed: int = N_LISTED_MEMBERS) -> Heartbeat:
-        """Return a heartbeat with the current state of this balancer."""
+    def build_heartbeat(
+        self, *, n_listed: int = N_LISTED_MEMBERS, includes_load: bool = False
+    ) -> Heartbeat:
+        """Return a heartbeat with the current state of this balancer.
+
+        Parameters
+        ----------
+        n_listed : int
+            Live members to list.
+        includes_load : bool
+            Whether to include the loads of data centres, if settings ask for them.
+        """
         steering = self._steering
         now = self._clock()
         is_reader = self._is_reading() and not self.is_leaving
@@ -228,6 +238,7 @@
             first_reader=steering.members.first_reader(
                 now, confirmed_age if is_reader else None
             ),
+            load_rows=steering.load_rows(now) if includes_load else (),
         )
 
     def _send_heartbeats(self, *, include_remote: bool) -> None:
@@ -236,7 +247,9 @@
         )
         if not recipients:
             return
-        data = encode_heartbeat(self.build_heartbeat())
+        # Loads go into the heartbeats that also leave the data centre, one in three:
+        # in all of them they would take up to 13 KB a second.
+        data = encode_heartbeat(self.build_heartbeat(includes_load=include_remote))
         for entry in recipients:
             self._send_datagram(data, entry)
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Iterator
 
-from stoattray_balancer.steering.metrics import format_counter, format_gauge
+from stoattray_balancer.steering.metrics import (
+    format_counter,
+    format_gauge,
+    format_pairs,
+)
 from stoattray_balancer.steering.packet_forwarder import PacketForwarder
 from stoattray_balancer.steering.store_reader import StoreReader
 from stoattray_core._identifiers import Millis
@@ -40,6 +44,14 @@
     yield from format_counter("stoattray_packets", "fate", forwarder.counters)
     yield from format_counter("stoattray_refused", "kind", forwarder.refusals)
     yield from format_counter("stoattray_decisions", "decision", steering.counters)
+    remote_traffic = steering.remote_traffic
+    if remote_traffic is not None:
+        yield from format_pairs(
+            "stoattray_openings_left", ("service", "reason"), remote_traffic.n_left
+        )
+        yield from format_counter(
+            "stoattray_remote_bytes", "service", remote_traffic.n_bytes
+        )
     yield from steering.follow_up_times.prometheus_lines("stoattray_follow_up_ms")
     yield from store_reader.calls.format_lines("stoattray_store_calls")
     yield from format_gauge("stoattray_open_flows", steering.n_flows)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -5,6 +5,7 @@
 
 from stoattray_core._errors import ErrorKind, StoattrayError
 from stoattray_core._identifiers import Address
+from stoattray_core.steering.locality import RemoteTrafficSettings
 
 LOG_LEVELS = ("info", "error")
 FIXED_AT_START = (
@@ -17,9 +18,15 @@
     "peer_port",
     "min_lease_ms",
     "flow_life_ms",
+    "remote_traffic",
 )
 """Settings that take effect only after a restart; others are applied on reload."""
 
+MAX_ROUND_TRIP_MILLIS = 1_000
+MAX_PRICE_MILLIS = 600_000
+"""Upper bounds of the limits of traffic between data centres; a price of ten minutes
+keeps all openings that a local server can take."""
+
 _UNSET = object()
 
 
@@ -40,6 +47,7 @@
     flow_life_ms: int
     grace_ms: int
     log_level: str
+    remote_traffic: RemoteTrafficSettings | None
 
 
 def load_steering_settings(path: str) -> SteeringSettings:
@@ -63,8 +71,9 @@
 class _SettingsReader:
     """Reads typed and range-checked values from a JSON object."""
 
-    def __init__(self, values: dict[str, Any]) -> None:
+    def __init__(self, values: dict[str, Any], prefix: str = "") -> None:
         self._values = values
+        self._prefix = prefix
 
     def read(self) -> SteeringSettings:
         host = self._text("host")
@@ -87,12 +96,26 @@
             flow_life_ms=int(self._number("flow_life_seconds", 1, 86_400) * 1_000),
             grace_ms=int(self._number("grace_seconds", 1, 3_600) * 1_000),
             log_level=self._choice("log_level", LOG_LEVELS),
+            remote_traffic=self._remote_traffic(),
+        )
+
+    def _remote_traffic(self) -> RemoteTrafficSettings | None:
+        """Return the limits of traffic between data centres, or None if unset."""
+        values = self._value("remote_traffic", None)
+        if values is None:
+            return None
+        if not isinstance(values, dict):
+            raise _invalid(f"remote_traffic: {values!r} is not an object")
+        reader = _SettingsReader(values, "remote_traffic.")
+        return RemoteTrafficSettings(
+            reader._number("min_round_trip_ms", 0, MAX_ROUND_TRIP_MILLIS),
+            reader._number("price_ms", 0, MAX_PRICE_MILLIS, default=0.0),
         )
 
     def _value(self, name: str, default: Any = _UNSET) -> Any:
         value = self._values.get(name, default)
         if value is _UNSET:
-            raise _invalid(f"{name}: is missing")
+            raise _invalid(f"{self._prefix}{name}: is missing")
         return value
 
     def _text(self, name: str, default: Any = _UNSET) -> str:
@@ -108,8 +131,11 @@
             raise _invalid(f"{name}: {value!r} is not one of {', '.join(values)}")
         return value
 
-    def _number(self, name: str, minimum: float, maximum: float) -> float:
-        value = self._value(name)
+    def _number(
+        self, name: str, minimum: float, maximum: float, default: Any = _UNSET
+    ) -> float:
+        value = self._value(name, default)
+        name = self._prefix + name
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise _invalid(f"{name}: {value!r} is not a number")
         if not minimum <= value <= maximum:
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -9,6 +9,8 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.admission import AdmissionControl, Overload
 from stoattray_core.steering.cluster_state import ClusterState
+from stoattray_core.steering.entries import Route
+from stoattray_core.steering.protocols import FarServerRule
 from stoattray_core.steering.server_selector import ServerSelector, draw_service
 from stoattray_core.steering.servers import ServerRow
 
@@ -38,6 +40,9 @@
         Counts the openings that are deferred or refused for overload.
     random : Random
         Draws a service by weight.
+    far_rule : FarServerRule or None
+        Selects the server if some candidates are in far data centres; None if the
+        settings set no limit for the traffic between data centres.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         service_time: Callable[[str], float | None],
         counters: Counter[str],
         random: Random,
+        far_rule: FarServerRule | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._selector = selector
@@ -56,6 +62,7 @@
         self._service_time = service_time
         self._counters = counters
         self._random = random
+        self._far_rule = far_rule
 
     def select(
         self,
@@ -85,8 +92,7 @@
             is_complete = not self._cluster_state.may_lack_writes(now)
             return NO_ROUTE if is_fresh and is_complete else STALE_REPLICA
         service = draw_service(route, self._random)
-        rows = self._cluster_state.servers.candidates(service, self._random)
-        server = self._selector.select(rows, now, avoid=avoid)
+        server = self._select_server(service, route, now, avoid)
         if server is None:
             return NO_BACKEND_SERVER
         overload = self._admission.check(
@@ -101,3 +107,19 @@
             self._counters[f"openings_{name}"] += 1
             return overload
         return server
+
+    def _select_server(
+        self, service: str, route: Route, now: Millis, avoid: list[ServerRow]
+    ) -> ServerRow | None:
+        """Return the best server of a service, or None if there is none."""
+        rows = self._cluster_state.servers.candidates(service, self._random)
+        if self._far_rule is None or not self._far_rule.applies_to(rows):
+            return self._selector.select(rows, now, avoid=avoid)
+        return self._far_rule.select(
+            rows,
+            service,
+            route.target_latency_millis,
+            self._service_time(service),
+            now,
+            avoid=avoid,
+        )
--- a/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
@@ -4,6 +4,7 @@
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.replica import Version
 
 MAX_CONFIRMED_AGE_MILLIS = 2_200
@@ -40,6 +41,9 @@
         confirmed that reader's replica.
     era : int
         Era of the store that the revision belongs to.
+    load_rows : tuple of LoadRow
+        Newest known loads of data centres; empty unless the sender's settings limit the
+        traffic between data centres.
     """
 
     member: MemberEntry
@@ -53,6 +57,7 @@
     failing_cookies: tuple[int, ...] = ()
     first_reader: tuple[str, Millis] | None = None
     era: int = 0
+    load_rows: tuple[LoadRow, ...] = ()
 
     @property
     def version(self) -> Version:
--- a/packages/stoattray-core/src/stoattray_core/steering/peer_reports.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/peer_reports.py
@@ -1,6 +1,7 @@
 """Load and failures of backend servers as reported by other balancers."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -61,6 +62,15 @@
             self._remove_load(name)
             self._remove_failing(name)
 
+    def requests_by_service(self, names: Iterable[str]) -> Counter[str]:
+        """Return the requests in the latest reports of the peers named, by service."""
+        n_requests: Counter[str] = Counter()
+        for name in names:
+            load = self._loads.get(name)
+            for server, n in load.reported.items() if load is not None else ():
+                n_requests[server.entry.service] += n
+        return n_requests
+
     def _apply_load(self, name: str, requests: dict[int, int], now: Millis) -> None:
         reported = {
             server: n_requests
--- a/packages/stoattray-core/src/stoattray_core/steering/protocols.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/protocols.py
@@ -1,10 +1,13 @@
 """Interfaces that cookie placement requires of the process around it."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
+from stoattray_core._identifiers import Millis
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import Entry
 from stoattray_core.steering.replica import Record
+from stoattray_core.steering.servers import ServerRow
 
 
 class RecordDecoder(Protocol):
@@ -28,3 +31,22 @@
 
     def note_suppressed(self, name: str) -> None:
         """Count an event that the caller skipped because its kind is not enabled."""
+
+
+class FarServerRule(Protocol):
+    """Decides when an opening goes to a server in a far data centre."""
+
+    def applies_to(self, rows: Sequence[ServerRow]) -> bool:
+        """Return whether any of the candidates is in a far data centre."""
+
+    def select(
+        self,
+        rows: Sequence[ServerRow],
+        service: str,
+        target_millis: Millis | None,
+        service_time: float | None,
+        now: Millis,
+        *,
+        avoid: Sequence[ServerRow] = (),
+    ) -> ServerRow | None:
+        """Return the best server for a new flow, or None if there is none."""
--- a/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
@@ -1,5 +1,7 @@
 """Passive monitoring of backend servers' responses, from callers' packets."""
 
+from collections.abc import Callable
+
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.admission import AdmissionControl
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
@@ -7,7 +9,7 @@
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.protocols import EventSink
 from stoattray_core.steering.response_times import ResponseTimes
-from stoattray_core.steering.servers import ServerTable
+from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.service_times import ServiceTimes
 
 
@@ -26,6 +28,12 @@
         Adapts to the response times of requests that were served.
     on_event : EventSink
         Receives events.
+
+    Attributes
+    ----------
+    on_response : callable or None
+        Receives the server, the response time without queueing, and the time of each
+        response that is not too fast.
     """
 
     def __init__(
@@ -43,6 +51,7 @@
         self._on_event = on_event
         self._response_times = ResponseTimes()
         self._service_times = ServiceTimes()
+        self.on_response: Callable[[ServerRow, float, Millis], None] | None = None
 
     def service_time(self, service: str) -> float | None:
         """Return a service's time in ms including a round trip, or None if unknown."""
@@ -72,6 +81,8 @@
         )
         if not is_fast:
             self._admission.note_response(service, waited_millis, now)
+            if self.on_response is not None:
+                self.on_response(server, waited_millis / flow.queueing_factor, now)
         is_new = self._failure_detector.note_response(
             server,
             now,
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -195,6 +195,10 @@
         """Return the servers of a service, draining ones included."""
         return self._local.get(service, []) + self._remote.get(service, [])
 
+    def local_of_service(self, service: str) -> list[ServerRow]:
+        """Return a service's servers in this data centre, draining ones included."""
+        return self._local.get(service, [])
+
     def n_of_service(self, service: str) -> int:
         """Return the number of servers of a service."""
         return len(self._local.get(service, ())) + len(self._remote.get(service, ()))
--- a/packages/stoattray-core/src/stoattray_core/steering/silence_detector.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/silence_detector.py
@@ -117,7 +117,11 @@
         """Return whether a server or its whole data centre is suspect."""
         if server.is_suspect(now):
             return True
-        until = self._cut_off_until.get(server.entry.data_centre)
+        return self.is_cut_off(server.entry.data_centre, now)
+
+    def is_cut_off(self, data_centre: str, now: Millis) -> bool:
+        """Return whether a whole data centre is suspect."""
+        until = self._cut_off_until.get(data_centre)
         return until is not None and now < until
 
     def _note_silent_server(self, data_centre: str, now: Millis) -> None:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -25,10 +25,13 @@
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
+from stoattray_core.steering.load_reports import LoadRow
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.packet import Packet, flow_name
 from stoattray_core.steering.peer_reports import PeerReports
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
+from stoattray_core.steering.remote_traffic import RemoteTraffic
 from stoattray_core.steering.replica import Difference, Replica
 from stoattray_core.steering.response_monitor import ResponseMonitor
 from stoattray_core.steering.server_selector import ServerSelector
@@ -84,6 +87,8 @@
         Breaks ties.
     on_event : EventSink
         Receives events.
+    remote_traffic : RemoteTrafficSettings or None
+        Limits the traffic between data centres; None for no limit.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         flow_life_millis: Millis,
         random: Random,
         on_event: EventSink,
+        remote_traffic: RemoteTrafficSettings | None = None,
     ) -> None:
         self.members = MemberTable(own, random)
         self.servers = ServerTable(flow_life_millis, own.data_centre)
@@ -104,6 +110,7 @@
         self.follow_up_times = Histogram()
         self._random = random
         self._on_event = on_event
+        self._own_data_centre = own.data_centre
         self._silence_detector = SilenceDetector(own.data_centre)
         self._flows = FlowTable()
         self._failure_detector = FastFailureDetector()
@@ -115,15 +122,31 @@
             self._admission,
             on_event,
         )
+        self._peer_reports = PeerReports(self.servers, self._failure_detector)
+        selector = ServerSelector(own.data_centre, self._silence_detector, random)
+        self.remote_traffic: RemoteTraffic | None = None
+        if remote_traffic is not None:
+            self.remote_traffic = RemoteTraffic(
+                own.data_centre,
+                remote_traffic,
+                servers=self.servers,
+                members=self.members,
+                peer_reports=self._peer_reports,
+                silence_detector=self._silence_detector,
+                selector=selector,
+                random=random,
+                on_event=on_event,
+            )
+            self._response_monitor.on_response = self.remote_traffic.note_response
         self._placement = FlowPlacement(
             self.cluster_state,
-            ServerSelector(own.data_centre, self._silence_detector, random),
+            selector,
             self._admission,
             service_time=self._service_time,
             counters=self.counters,
             random=random,
+            far_rule=self.remote_traffic,
         )
-        self._peer_reports = PeerReports(self.servers, self._failure_detector)
         self._last_tick_at: Millis | None = None
         self._detect_silence_from: Millis = 0
         self._drop_openings_until: Millis = 0
@@ -187,6 +210,10 @@
             if row.n_pending_requests > 0
         }
 
+    def load_rows(self, now: Millis) -> tuple[LoadRow, ...]:
+        """Return the loads for a heartbeat; none unless settings ask for them."""
+        return () if self.remote_traffic is None else self.remote_traffic.rows(now)
+
     def exclude_backlog(self, now: Millis) -> None:
         """Exclude packets queued before the start from silence detection."""
         self._detect_silence_from = now + BACKLOG_MILLIS
@@ -200,6 +227,8 @@
         """Apply a heartbeat; return whether its sender is new or had been silent."""
         was_silent = self.members.receive_heartbeat(heartbeat, now)
         self._peer_reports.apply(heartbeat, now)
+        if self.remote_traffic is not None:
+            self.remote_traffic.merge(heartbeat.load_rows, now)
         if heartbeat.recovery_age is not None:
             self.store_health.note_peer_recovery(heartbeat.recovery_age, now)
         # Two empty replicas (revision 0) must not confirm each other.
@@ -349,6 +378,7 @@
             server=server.name,
             service=server.entry.service,
             data_centre=server.entry.data_centre,
+            opened_in=self._own_data_centre,
             n_open=server.n_open,
             peer_load=round(server.peer_load, 2),
             is_suspect=self.is_suspect(server, now),
@@ -395,6 +425,8 @@
         waited_millis = now - flow.sent_at if len(flow.tried_servers) == 1 else None
         if waited_millis is not None:
             self.follow_up_times.observe(waited_millis)
+            if self.remote_traffic is not None:
+                self.remote_traffic.note_follow_up(flow.server, waited_millis)
         if self._silence_detector.note_follow_up(flow.server, waited_millis, now):
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.establish(flow)
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -24,6 +24,7 @@
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.load_reports import MAX_ROWS, LoadRow
 from stoattray_core.steering.replica import Difference, Record, Version
 from tests.steering_builders import heartbeat, member_entry
 
@@ -48,6 +49,53 @@
         )
         self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
 
+    def test_heartbeat_with_loads(self):
+        sent = heartbeat(
+            load_rows=(
+                LoadRow("luzon-a", "lookup", 12.3, 29.2, 250),
+                LoadRow("luzon-a", "archive", 0.0, 10.0, 0),
+                LoadRow("luzon-b", "lookup", 40.0, 30.0, 900),
+            )
+        )
+        self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
+
+    def test_heartbeat_without_loads_is_that_of_earlier_releases(self):
+        """Guards against traffic and fields where the settings do not ask for them."""
+        row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
+        self.assertEqual(len(row), 12)
+
+    def test_heartbeat_with_loads_is_read_by_earlier_releases(self):
+        """Guards against a field that moves the ones in front of it."""
+        rows = (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)
+        with_loads = msgpack.unpackb(encode_heartbeat(heartbeat(load_rows=rows)))
+        self.assertEqual(
+            with_loads[:12], msgpack.unpackb(encode_heartbeat(heartbeat()))
+        )
+
+    def test_malformed_loads_are_refused(self):
+        row = msgpack.unpackb(encode_heartbeat(heartbeat()))
+        for loads in (
+            5,
+            [["luzon-a", ["lookup", -1, 2, 3]]],
+            [["luzon-a", ["lookup", 1.5, 2, 3]]],
+            [["luzon-a", [7, 1, 2, 3]]],
+            [[7, ["lookup", 1, 2, 3]]],
+            [["luzon-a", ["lookup", 1]]],
+        ):
+            with self.subTest(loads=loads):
+                decoded = decode_heartbeat(msgpack.packb([*row, loads]))
+                self.assertIsInstance(decoded, Refused)
+
+    def test_sixteen_rows_of_load_stay_small(self):
+        """Guards against heartbeats above 14 KB a second: 17 with loads each second."""
+        rows = tuple(
+            LoadRow(f"data-centre-{n // 2}", f"service{n % 2}a", 123.4, 60.0, 2_900)
+            for n in range(MAX_ROWS)
+        )
+        n_bytes = len(encode_heartbeat(heartbeat(load_rows=rows)))
+        n_added = n_bytes - len(encode_heartbeat(heartbeat()))
+        self.assertLess(n_added, 450)
+
     def test_difference(self):
         sent = Difference(7, [Record("a", 7, b"x"), Record("b", 6, None)], True)
         data = encode_difference(heartbeat(), sent, may_compress=False)
--- a/tests/balancer/steering/test_settings.py
+++ b/tests/balancer/steering/test_settings.py
@@ -7,6 +7,7 @@
 
 from stoattray_balancer.steering.settings import load_steering_settings
 from stoattray_core._errors import ErrorKind, StoattrayError
+from stoattray_core.steering.locality import RemoteTrafficSettings
 
 VALID_SETTINGS = {
     "member": "edge-1",
@@ -39,6 +40,34 @@
         self.assertEqual(settings.grace_ms, 6_000)
         self.assertEqual(settings.seed_server, ("10.1.0.10", 8_166))
 
+    def load_remote_traffic(self, value):
+        return self.load(json.dumps({**VALID_SETTINGS, "remote_traffic": value}))
+
+    def test_traffic_between_data_centres_is_unlimited_by_default(self):
+        self.assertIsNone(self.load(json.dumps(VALID_SETTINGS)).remote_traffic)
+
+    def test_limits_of_traffic_between_data_centres(self):
+        limits = self.load_remote_traffic({"min_round_trip_ms": 4}).remote_traffic
+        self.assertEqual(limits, RemoteTrafficSettings(4, 0.0))
+        limits = self.load_remote_traffic({"min_round_trip_ms": 4, "price_ms": 50.5})
+        self.assertEqual(limits.remote_traffic, RemoteTrafficSettings(4, 50.5))
+
+    def test_limits_of_traffic_out_of_range(self):
+        """Guards against settings that are taken over without their meaning."""
+        for value, name in [
+            ({}, "remote_traffic.min_round_trip_ms"),
+            ({"min_round_trip_ms": -1}, "remote_traffic.min_round_trip_ms"),
+            ({"min_round_trip_ms": 1_001}, "remote_traffic.min_round_trip_ms"),
+            ({"min_round_trip_ms": True}, "remote_traffic.min_round_trip_ms"),
+            ({"min_round_trip_ms": 4, "price_ms": "0"}, "remote_traffic.price_ms"),
+            ({"min_round_trip_ms": 4, "price_ms": -1}, "remote_traffic.price_ms"),
+            ([], "remote_traffic"),
+            (4, "remote_traffic"),
+        ]:
+            with self.subTest(value=value), self.assertRaises(StoattrayError) as caught:
+                self.load_remote_traffic(value)
+            self.assertIn(f"{name}:", caught.exception.reason)
+
     def test_without_seed_server(self):
         settings = self.load(
             json.dumps({**VALID_SETTINGS, "seed_server": "", "seeds": []})
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -16,6 +16,8 @@
 from stoattray_core._errors import ERROR_RESPONSES, PacketResponse
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import RequestKind, Route
+from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.servers import ServerRow
 from tests.steering_builders import (
     LOOKUP_DESTINATION,
@@ -35,6 +37,9 @@
 LOCAL_ONE_WAY_MILLIS = 1
 REMOTE_ONE_WAY_MILLIS = 2
 HEARTBEAT_INTERVAL_MILLIS = 200
+REMOTE_TURN = 3
+"""One in this many heartbeats also goes to other data centres."""
+
 RETRANSMIT_MILLIS = (200, 600)
 GIVE_UP_MILLIS = 1_400
 RETRY_MILLIS = 6
@@ -68,6 +73,28 @@
     deadline_millis: int = 2_500
 
 
+class Layout(NamedTuple):
+    """Data centres, and the messages between balancers.
+
+    Parameters
+    ----------
+    data_centres : tuple of str
+        Their names.
+    remote_one_way_millis : int
+        One-way delay between callers and hosts of two data centres.
+    samples_targets : bool
+        Whether heartbeats go to a sample of members, as in the real process; they go to
+        all others if not.
+    remote_traffic : RemoteTrafficSettings or None
+        Settings of all balancers.
+    """
+
+    data_centres: tuple[str, ...] = DATA_CENTRES
+    remote_one_way_millis: int = REMOTE_ONE_WAY_MILLIS
+    samples_targets: bool = False
+    remote_traffic: RemoteTrafficSettings | None = None
+
+
 class Host:
     """Actual state of one backend server, independent of its entry in the store.
 
@@ -127,6 +154,8 @@
         Seed of all random choices.
     workload : Workload
         Requests and the hosts' capacity.
+    layout : Layout
+        Data centres, and the messages between balancers.
     """
 
     def __init__(
@@ -136,7 +165,9 @@
         n_balancers: int = 2,
         seed: int = 1,
         workload: Workload | None = None,
+        layout: Layout | None = None,
     ) -> None:
+        self.layout = layout or Layout()
         self.random = Random(seed)
         self.now = START_MILLIS
         self.workload = workload or Workload()
@@ -144,13 +175,16 @@
         self.balancers = {
             data_centre: [
                 Balancer(
-                    f"edge-{data_centre[-1]}{n}", data_centre, self.random.random()
+                    f"edge-{data_centre[-1]}{n}",
+                    data_centre,
+                    self.random.random(),
+                    remote_traffic=self.layout.remote_traffic,
                 )
                 for n in range(n_balancers)
             ]
-            for data_centre in DATA_CENTRES
+            for data_centre in self.layout.data_centres
         }
-        self.rates = dict.fromkeys(DATA_CENTRES, 0.0)
+        self.rates = dict.fromkeys(self.layout.data_centres, 0.0)
         self.isolated: set[str] = set()
         self.processing_delays: dict[str, int] = {}
         self.cut_off: set[str] = set()
@@ -171,7 +205,9 @@
             timeout_millis=self.workload.deadline_millis,
         )
         self.declare(configuration(routes={route.destination: route}))
-        for data_centre in DATA_CENTRES:
+        if self.layout.samples_targets:
+            self._discover_members()
+        for data_centre in self.layout.data_centres:
             for _ in range(n_hosts):
                 self.add_host(data_centre)
 
@@ -191,6 +227,12 @@
         """Return the balancers that are neither without power nor starting."""
         return [b for b in self.all_balancers if b.own.name not in self.starting]
 
+    def _discover_members(self) -> None:
+        """Let all balancers know each other, as they are listed in the store."""
+        for balancer in self.all_balancers:
+            for other in self.all_balancers:
+                balancer.steering.members.discover(other.own, self.now)
+
     def declare(self, *entries: object) -> None:
         """Apply entries of the store at all balancers."""
         for balancer in self.all_balancers:
@@ -264,8 +306,8 @@
 
     def set_load(self, load: float, *, only: str | None = None) -> None:
         """Set the rate of new flows, as a multiple of the capacity of all hosts."""
-        for data_centre in DATA_CENTRES:
-            share = 1 / len(DATA_CENTRES) if only is None else data_centre == only
+        for data_centre in self.rates:
+            share = 1 / len(self.rates) if only is None else data_centre == only
             self.rates[data_centre] = load * self.capacity * share
 
     def run(self, millis: int) -> list[Outcome]:
@@ -290,7 +332,7 @@
 
     def _finish(self) -> None:
         """Run until all open flows have ended, without opening new ones."""
-        rates, self.rates = self.rates, dict.fromkeys(DATA_CENTRES, 0.0)
+        rates, self.rates = self.rates, dict.fromkeys(self.rates, 0.0)
         while self._flows or self.n_retrying:
             self.step()
         self.rates = rates
@@ -337,15 +379,38 @@
             own = balancer.own
             if own.name in self.isolated:
                 continue
+            is_remote_turn = self.now // HEARTBEAT_INTERVAL_MILLIS % REMOTE_TURN == 0
             message = heartbeat(
                 member=own,
                 revision=balancer.steering.replica.revision,
                 pending_requests=balancer.steering.pending_requests(),
                 failing_cookies=balancer.steering.failing_cookies(self.now),
+                load_rows=(
+                    balancer.steering.load_rows(self.now) if is_remote_turn else ()
+                ),
             )
+            targets = self._heartbeat_targets(balancer, is_remote_turn)
             for other in self.running_balancers:
-                if other is not balancer and (other.own.name not in self.isolated):
-                    other.steering.apply_heartbeat(message, self.now)
+                if other is balancer or other.own.name in self.isolated:
+                    continue
+                if targets is None or other.own.name in targets:
+                    self.exchange(message, balancer, other)
+
+    def _heartbeat_targets(
+        self, balancer: Balancer, is_remote_turn: bool
+    ) -> set[str] | None:
+        """Return the names of a heartbeat's recipients, or None for all others."""
+        if not self.layout.samples_targets:
+            return None
+        members = balancer.steering.members
+        entries = members.sample_heartbeat_targets(
+            self.now, include_remote=is_remote_turn
+        )
+        return {entry.name for entry in entries}
+
+    def exchange(self, message: Heartbeat, sender: Balancer, other: Balancer) -> None:
+        """Deliver a heartbeat."""
+        other.steering.apply_heartbeat(message, self.now)
 
     def end_flow(self, flow: "_Flow", *, is_served: bool) -> None:
         """Retry the request of a flow that failed, or record its outcome."""
@@ -446,7 +511,8 @@
         )
         if is_reached:
             is_local = host.data_centre == self.data_centre
-            wait = LOCAL_ONE_WAY_MILLIS if is_local else REMOTE_ONE_WAY_MILLIS
+            remote_millis = self.fleet.layout.remote_one_way_millis
+            wait = LOCAL_ONE_WAY_MILLIS if is_local else remote_millis
             self.fleet.schedule(
                 2 * wait, lambda: self._send_request(host, server.cookie)
             )
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -13,6 +13,7 @@
     Route,
 )
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.replica import Difference, Record, Version
 from stoattray_core.steering.servers import ServerRow
@@ -142,6 +143,8 @@
         Seed of its random choices.
     decoder : EntryDecoder or None
         Decoder of the store's records; a new one by default.
+    remote_traffic : RemoteTrafficSettings or None
+        Limits the traffic between data centres.
     """
 
     def __init__(
@@ -150,6 +153,7 @@
         data_centre: str = "luzon-a",
         seed: float = 1,
         decoder: EntryDecoder | None = None,
+        remote_traffic: RemoteTrafficSettings | None = None,
     ) -> None:
         self.now = START_MILLIS
         self.recorder = EventRecorder()
@@ -161,12 +165,20 @@
             flow_life_millis=FLOW_LIFE_MILLIS,
             random=Random(seed),
             on_event=self.recorder,
+            remote_traffic=remote_traffic,
         )
+        self._remote_traffic = remote_traffic
         self._revision = 0
 
     def restarted(self, seed: float) -> "Balancer":
         """Return a new process of this balancer that has read the same store."""
-        balancer = Balancer(self.own.name, self.own.data_centre, seed, self.decoder)
+        balancer = Balancer(
+            self.own.name,
+            self.own.data_centre,
+            seed,
+            self.decoder,
+            self._remote_traffic,
+        )
         balancer.now = self.now
         balancer._revision = self._revision
         balancer.steering.store_health.note_response(self.now)
