core, operator: pass on loads of others only if far; matrix of flows in report

Cause: deploy/settings.json switches the part on for all deployments, and those with near data centres have no use for the rows of others. Operators had no way to see how many flows leave.

Change: until a data centre is found to be far, a balancer sends only the rows of its own one.

--- a/packages/stoattray-core/src/stoattray_core/steering/load_reports.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/load_reports.py
@@ -175,12 +175,21 @@
             for data_centre, report in self._of_service(service)
         }
 
-    def rows(self, now: Millis) -> tuple[LoadRow, ...]:
-        """Return the rows for a heartbeat: the own ones, then the newest of others."""
+    def rows(self, now: Millis, *, includes_others: bool) -> tuple[LoadRow, ...]:
+        """Return the rows for a heartbeat: the own ones, then the newest of others.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        includes_others : bool
+            Whether to pass on the rows of other data centres.
+        """
         rows = [
             LoadRow(*key, report.load, report.capacity, now - report.measured_at)
             for key, report in self._reports.items()
             if now - report.measured_at <= MAX_AGE_MILLIS
+            and (includes_others or key[0] == self._data_centre)
         ]
         rows.sort(key=lambda row: (row.data_centre != self._data_centre, row.age))
         return tuple(rows[:MAX_ROWS])
--- a/packages/stoattray-core/src/stoattray_core/steering/remote_traffic.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/remote_traffic.py
@@ -152,9 +152,13 @@
         self._reports.merge(rows, now)
 
     def rows(self, now: Millis) -> tuple[LoadRow, ...]:
-        """Return the rows for a heartbeat."""
+        """Return the rows for a heartbeat.
+
+        Until a data centre is found to be far, only the own load is sent. Deployments
+        whose data centres are all near thus pay for one row of each service.
+        """
         self._refresh(now)
-        return self._reports.rows(now)
+        return self._reports.rows(now, includes_others=bool(self._distances))
 
     def is_far(self, server: ServerRow) -> bool:
         """Return whether the rule applies to a server's data centre."""
--- a/packages/stoattray-operator/src/stoattray_operator/_report.py
+++ b/packages/stoattray-operator/src/stoattray_operator/_report.py
@@ -44,6 +44,8 @@
         Events of `SERVER_EVENTS` by backend server.
     by_balancer : dict of str to Counter
         Lines by event for each balancer.
+    n_flows_between : Counter
+        Logged `flow_opened` lines by the data centres of balancer and backend server.
     by_second : dict of str to Counter
         Lines by second for each of `PLOTTED_EVENTS`.
     """
@@ -55,6 +57,7 @@
     n_refusals: Counter[tuple[str, str]] = field(default_factory=Counter)
     by_server: dict[str, Counter[str]] = field(default_factory=dict)
     by_balancer: dict[str, Counter[str]] = field(default_factory=dict)
+    n_flows_between: Counter[tuple[str, str]] = field(default_factory=Counter)
     by_second: dict[str, Counter[str]] = field(
         default_factory=lambda: {name: Counter() for name in PLOTTED_EVENTS}
     )
@@ -77,6 +80,10 @@
             helper = line.fields.get("helper")
             outcome = "reset" if line.fields.get("is_reset") == "True" else "dropped"
             self.n_refusals[kind, "handed over" if helper else outcome] += 1
+        opened_in = line.fields.get("opened_in")
+        if line.event == "flow_opened" and opened_in is not None:
+            data_centre = line.fields.get("data_centre", "")
+            self.n_flows_between[opened_in, data_centre] += 1
         server = line.fields.get(SERVER_EVENTS.get(line.event, ""))
         if server is not None:
             self.by_server.setdefault(server, Counter())[line.event] += 1
@@ -114,6 +121,9 @@
         busiest = sorted(report.by_server.items(), key=lambda item: -item[1].total())
         names = tuple(SERVER_EVENTS)
         yield _format_counts("BACKEND SERVER", busiest[:N_LISTED_SERVERS], names)
+    if report.n_flows_between:
+        yield "\nFlows between data centres, only those logged, from row to column"
+        yield _format_matrix(report.n_flows_between)
     yield "\nBalancers"
     yield _format_counts(
         "BALANCER", sorted(report.by_balancer.items()), LIFECYCLE_EVENTS
@@ -151,6 +161,17 @@
         raise StoattrayError(ErrorKind.INVALID_ARGUMENT, f"{path}: {error}") from error
 
 
+def _format_matrix(counts: Counter[tuple[str, str]]) -> str:
+    """Return a table with the sources as rows, the destinations, and what left."""
+    names = sorted({name for pair in counts for name in pair})
+    rows = []
+    for source in sorted({source for source, _ in counts}):
+        n_flows = [counts[source, name] for name in names]
+        left = 1.0 - counts[source, source] / sum(n_flows)
+        rows.append((source, *n_flows, f"{left:.1%}"))
+    return format_table(("DATA CENTRE", *names, "LEFT"), rows)
+
+
 def _format_counts(
     head: str, counts: Iterable[tuple[str, Counter[str]]], events: tuple[str, ...]
 ) -> str:
--- a/tests/balancer/steering/test_metrics.py
+++ b/tests/balancer/steering/test_metrics.py
@@ -7,6 +7,7 @@
     CallMetrics,
     format_counter,
     format_gauge,
+    format_pairs,
 )
 from stoattray_core.steering.histogram import Histogram
 
@@ -39,5 +40,9 @@
         total = sum(int(line.rsplit(" ", 1)[1]) for line in lines)
         self.assertEqual(total, sum(counts.values()))
 
+    def test_counter_with_two_labels(self):
+        lines = list(format_pairs("x", ("service", "reason"), {("lookup", "late"): 3}))
+        self.assertEqual(lines, ['x_total{service="lookup",reason="late"} 3'])
+
     def test_missing_gauge_has_no_line(self):
         self.assertEqual(list(format_gauge("x", None)), [])
--- a/tests/core/steering/test_load_reports.py
+++ b/tests/core/steering/test_load_reports.py
@@ -32,6 +32,9 @@
     def load(self, now=NOW, data_centre="b"):
         return self.reports.loads("lookup", now).get(data_centre)
 
+    def rows(self, now):
+        return self.reports.rows(now, includes_others=True)
+
     def test_newer_measurement_applies_whatever_the_order_of_arrival(self):
         """Guards against a reordered report that restores an old load."""
         self.reports.merge([row(load=20.0, age=100)], NOW)
@@ -40,7 +43,7 @@
 
     def test_report_that_others_pass_on_keeps_its_age(self):
         self.reports.merge([row(age=700)], NOW)
-        passed_on = [r for r in self.reports.rows(NOW + 300) if r.data_centre == "b"]
+        passed_on = [r for r in self.rows(NOW + 300) if r.data_centre == "b"]
         self.assertEqual(passed_on[0].age, 1_000)
 
     def test_old_report_is_ignored_but_its_spare_capacity_remains_known(self):
@@ -48,7 +51,7 @@
         later = NOW + MAX_AGE_MILLIS + 1
         self.assertIsNone(self.load(later))
         self.assertEqual(self.reports.last_loads("lookup")["b"], ServiceLoad(10, 30))
-        self.assertEqual(self.reports.rows(later), ())
+        self.assertEqual(self.rows(later), ())
 
     def test_own_data_centre_is_only_measured_here(self):
         """Guards against own load that comes back from a peer as a newer one."""
@@ -70,11 +73,18 @@
         rows = [row("b", service=f"s{n}", age=n) for n in range(MAX_ROWS + 4)]
         self.reports.merge(rows, NOW)
         self.reports.measure("lookup", 1.0, 30.0, NOW)
-        sent = self.reports.rows(NOW)
+        sent = self.rows(NOW)
         self.assertEqual(len(sent), MAX_ROWS)
         self.assertEqual(sent[0].data_centre, "a")
         self.assertEqual(max(r.age for r in sent), MAX_ROWS - 2)
 
+    def test_rows_of_others_are_not_passed_on_between_near_data_centres(self):
+        """Guards against traffic that grows with the number of data centres."""
+        self.reports.merge([row("b"), row("c")], NOW)
+        self.reports.measure("lookup", 1.0, 30.0, NOW)
+        sent = self.reports.rows(NOW, includes_others=False)
+        self.assertEqual([r.data_centre for r in sent], ["a"])
+
 
 class TrendTest(unittest.TestCase):
     """Loads between two reports."""
--- a/tests/operator/test_logs.py
+++ b/tests/operator/test_logs.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from stoattray_operator._log_lines import read_log_lines
-from stoattray_operator._report import build_report
+from stoattray_operator._report import build_report, format_report
 from stoattray_operator.main import main
 
 LOG = Path(__file__).parent / "logs/store-away.log"
@@ -21,6 +21,35 @@
 OPENED_FLOW = "100.64.0.12:1127>198.18.0.1:8443"
 
 
+class FlowMatrixTest(unittest.TestCase):
+    """Flows between data centres in a report."""
+
+    @staticmethod
+    def lines(*pairs):
+        text = (
+            f"time=2026-02-01T05:39:4{n}.000Z level=info event=flow_opened "
+            f"server=i-{n} data_centre={data_centre} opened_in={opened_in}"
+            for n, (opened_in, data_centre) in enumerate(pairs)
+        )
+        return read_log_lines(text, "edge-1")
+
+    def test_flows_are_counted_from_balancer_to_server(self):
+        report = build_report(
+            self.lines(("idk-a", "idk-a"), ("idk-a", "idk-b"), ("idk-b", "idk-b"))
+        )
+        text = "\n".join(format_report(report))
+        self.assertRegex(text, r"DATA CENTRE +idk-a +idk-b +LEFT")
+        self.assertRegex(text, r"idk-a +1 +1 +50\.0%")
+        self.assertRegex(text, r"idk-b +0 +1 +0\.0%")
+
+    def test_lines_of_earlier_releases_give_no_matrix(self):
+        """Guards against flows that are counted as if they had left."""
+        with LOG.open() as log:
+            report = build_report(read_log_lines(log, "edge-1"))
+        self.assertEqual(report.n_flows_between.total(), 0)
+        self.assertNotIn("DATA CENTRE", "\n".join(format_report(report)))
+
+
 class LogCommandTest(unittest.TestCase):
     """Output and errors of the commands that read logs."""
 
