core: local servers are selected by averaged reports only; far patterns

Cause: once the queue of the selected server was nearly full, the local server with the shortest queue by the latest reports was taken. All balancers see the same reports for 0.2 s and took the same server.

Change: the selected server stays. Splits have a module of their own.

--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -4,15 +4,27 @@
 target latency, on simulated fleets without a network; for the last two patterns, whose
 callers retry, the mean worth of a request:
 ``python -m benchmarks.patterns --seeds 3``.
+
+``--far`` compares variants of the traffic between four data centres that are far from
+each other: the share of openings in time, and the share that left.
 """
 
 import argparse
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 from functools import partial
 from statistics import mean
 from unittest import mock
 
+from tests.far_fleet import (
+    FarFleet,
+    Figures,
+    far_fleet,
+    figures,
+    move_callers,
+    set_even_load,
+    set_loads,
+)
 from tests.simulated_fleet import (
     DATA_CENTRES,
     TARGET_LATENCY_MILLIS,
@@ -22,16 +34,23 @@
 
 from stoattray_core.steering import (
     admission,
+    load_reports,
+    locality,
     peer_reports,
+    remote_traffic,
     response_times,
     server_selector,
     servers,
+    split_table,
     steering,
 )
+from stoattray_core.steering.locality import ServiceLoad
 
 EFFECTIVELY_INFINITE = 1e9
 
-VARIANTS: dict[str, dict[tuple[object, str], float]] = {
+Variant = dict[tuple[object, str], object]
+
+VARIANTS: dict[str, Variant] = {
     "built": {},
     "latest reported peer load": {(peer_reports, "LOAD_SMOOTHING_MILLIS"): 1e-3},
     "peer load averaged over 0.5 s": {(peer_reports, "LOAD_SMOOTHING_MILLIS"): 500},
@@ -185,22 +204,209 @@
 
 
 @contextmanager
-def _patched(variant: dict[tuple[object, str], float]) -> Iterator[None]:
+def _patched(variant: Variant) -> Iterator[None]:
     with ExitStack() as stack:
         for (module, name), value in variant.items():
             stack.enter_context(mock.patch.object(module, name, value))
         yield
 
 
+def _unlimited_split(
+    loads: Mapping[str, ServiceLoad],
+    excess_at: Collection[str],
+    source: str,
+    distances: Mapping[str, float],
+) -> dict[str, float]:
+    """Allow everything, so that only the local rule decides."""
+    return dict.fromkeys(distances, EFFECTIVELY_INFINITE)
+
+
+def _water_filling_split(
+    loads: Mapping[str, ServiceLoad],
+    excess_at: Collection[str],
+    source: str,
+    distances: Mapping[str, float],
+) -> dict[str, float]:
+    """Fill the data centres with the lowest load per slot first, to an equal level."""
+    total = sum(loads[name].excess for name in excess_at if name in loads)
+    if source not in excess_at or total <= 0.0:
+        return {}
+    free = {n: loads[n] for n in distances if n in loads and n not in excess_at}
+    low, high = 0.0, locality.BEGIN_LOAD
+    for _ in range(30):
+        level = (low + high) / 2
+        n_filled = sum(
+            max(0.0, level * load.capacity - load.load) for load in free.values()
+        )
+        low, high = (level, high) if n_filled < total else (low, level)
+    part = loads[source].excess / total
+    slots = {n: part * (high * x.capacity - x.load) for n, x in free.items()}
+    return {name: n_slots for name, n_slots in slots.items() if n_slots > 0.0}
+
+
+def _min_cost_flow_split(
+    loads: Mapping[str, ServiceLoad],
+    excess_at: Collection[str],
+    source: str,
+    distances: Mapping[str, float],
+) -> dict[str, float]:
+    """Return a vertex of the transport problem, whose costs are all equal here."""
+    spare = {n: x.spare for n, x in sorted(loads.items()) if n not in excess_at}
+    slots: dict[str, float] = {}
+    for name in sorted(name for name in excess_at if name in loads):
+        remaining, slots = loads[name].excess, {}
+        for destination, n_slots in spare.items():
+            used = min(remaining, n_slots)
+            spare[destination] -= used
+            remaining -= used
+            if used > 0.0:
+                slots[destination] = used
+        if name == source:
+            break
+    return slots if source in excess_at else {}
+
+
+def _always_leave(
+    local_millis: float, remote_millis: float, *_: object, **__: object
+) -> locality.Reason | None:
+    """Let an opening leave for any gain, whether it matters or not."""
+    return locality.Reason.LATE if local_millis > remote_millis else None
+
+
+def _no_sent_work(*_: object) -> float:
+    """Ignore the work that the balancer has sent."""
+    return 0.0
+
+
+FAR_VARIANTS: dict[str, Variant | None] = {
+    "present constant": None,
+    "built": {},
+    "local rule alone": {
+        (split_table, "split"): _unlimited_split,
+        (locality, "BEGIN_LOAD"): -1.0,
+        (locality, "END_LOAD"): -1.0,
+    },
+    "split alone": {(remote_traffic, "reason_to_leave"): _always_leave},
+    "split by water-filling": {(split_table, "split"): _water_filling_split},
+    "split by min-cost flow": {(split_table, "split"): _min_cost_flow_split},
+    "queue by reports only": {(locality.VirtualQueue, "per_slot"): _no_sent_work},
+    "late from 0.25 of the target": {(locality, "LATE_SHARE"): 0.25},
+    "late from 0.75 of the target": {(locality, "LATE_SHARE"): 0.75},
+    "queue full from 3": {
+        (locality, "NEARLY_FULL_QUEUE"): 3,
+        (remote_traffic, "NEARLY_FULL_QUEUE"): 3,
+    },
+    "queue full from 6": {
+        (locality, "NEARLY_FULL_QUEUE"): 6,
+        (remote_traffic, "NEARLY_FULL_QUEUE"): 6,
+    },
+    "no trend": {(load_reports, "MAX_EXTRAPOLATION_MILLIS"): 0},
+}
+"""Variants of the traffic between far data centres; None leaves the part off."""
+
+
+def _run_waves(fleet: FarFleet) -> None:
+    loads = [0.15, 0.3, 0.5, 0.65]
+    for turn in range(4):
+        shifted = loads[turn:] + loads[:turn]
+        set_loads(fleet, dict(zip(fleet.rates, shifted, strict=True)))
+        fleet.run(750)
+
+
+def _run_moved(fleet: FarFleet) -> None:
+    move_callers(fleet, 0.6, 0.57)
+    fleet.run(3_000)
+
+
+def _run_moved_and_back(fleet: FarFleet) -> None:
+    move_callers(fleet, 0.5, 0.5)
+    fleet.run(1_500)
+    set_even_load(fleet, 0.5)
+    fleet.run(1_500)
+
+
+def _run_burst(fleet: FarFleet) -> None:
+    set_even_load(fleet, 1.3)
+    fleet.run(3_000)
+
+
+def _run_slow(fleet: FarFleet) -> None:
+    for host in fleet.hosts.values():
+        host.slowdown = 7.0 if host.data_centre == next(iter(fleet.rates)) else 1.0
+    fleet.run(3_000)
+
+
+def _run_cold(fleet: FarFleet) -> None:
+    set_even_load(fleet, 0.6)
+    for host in list(fleet.hosts.values())[::3]:
+        host.slowdown = 1.6
+        fleet.declare(fleet.entry(host, warmup_remaining_millis=3_000))
+    fleet.run(3_000)
+
+
+FAR_PATTERNS: dict[str, Callable[[FarFleet], None]] = {
+    "waves": _run_waves,
+    "moved": _run_moved,
+    "moved and back": _run_moved_and_back,
+    "burst": _run_burst,
+    "slow": _run_slow,
+    "cold": _run_cold,
+}
+
+
+def far_figures(
+    run: Callable[[FarFleet], None], seed: int, **options: object
+) -> Figures:
+    """Return the figures of a pattern after 1.5 s at a load of 0.4."""
+    fleet = far_fleet(seed=seed, **options)
+    set_even_load(fleet, 0.4)
+    fleet.run(1_500)
+    start = fleet.now
+    run(fleet)
+    outcomes = [outcome for outcome in fleet.outcomes if outcome.opened_at >= start]
+    return figures(fleet, outcomes)
+
+
+def _print_far(variants: Iterable[str], n_seeds: int, **options: object) -> None:
+    print("| variant |", " | ".join(FAR_PATTERNS), "|")
+    print("| --- |" + " --- |" * len(FAR_PATTERNS))
+    for name in variants:
+        variant = FAR_VARIANTS[name]
+        if variant is None:
+            options = {**options, "price_millis": None}
+        cells = []
+        with _patched(variant or {}):
+            for run in FAR_PATTERNS.values():
+                results = [
+                    far_figures(run, seed, **options) for seed in range(1, n_seeds + 1)
+                ]
+                in_time = mean(result.in_time for result in results)
+                left = mean(result.left for result in results)
+                cells.append(f"{in_time:.3f}, {left:.3f}")
+        options.pop("price_millis", None)
+        print(f"| {name} |", " | ".join(cells), "|", flush=True)
+
+
 def main() -> None:
     """Print a table of variants and load patterns."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
-    parser.add_argument("--variants", nargs="*", choices=VARIANTS, default=VARIANTS)
+    parser.add_argument("--variants", nargs="*", choices=[*VARIANTS, *FAR_VARIANTS])
+    parser.add_argument("--far", action="store_true")
+    parser.add_argument("--hosts", type=int, default=8, help="with --far")
+    parser.add_argument("--balancers", type=int, default=4, help="with --far")
     arguments = parser.parse_args()
+    if arguments.far:
+        _print_far(
+            arguments.variants or FAR_VARIANTS,
+            arguments.seeds,
+            n_hosts=arguments.hosts,
+            n_balancers=arguments.balancers,
+        )
+        return
     print("| variant |", " | ".join(PATTERNS), "|")
     print("| --- |" + " --- |" * len(PATTERNS))
-    for name in arguments.variants:
+    for name in arguments.variants or VARIANTS:
         with _patched(VARIANTS[name]):
             shares = [
                 mean(pattern(seed) for seed in range(1, arguments.seeds + 1))
--- a/packages/stoattray-core/src/stoattray_core/steering/remote_traffic.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/remote_traffic.py
@@ -8,12 +8,10 @@
 from collections.abc import Iterable, Sequence
 from functools import partial
 from random import Random
-from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.data_centre_speeds import DataCentreSpeeds
 from stoattray_core.steering.load_reports import (
-    LoadReports,
     LoadRow,
     offered_loads,
     usable_capacity,
@@ -22,13 +20,11 @@
     NEARLY_FULL_QUEUE,
     Reason,
     RemoteTrafficSettings,
-    ServiceLoad,
     VirtualQueue,
     expected_millis,
     is_queue_nearly_full,
     n_ahead,
     reason_to_leave,
-    split,
 )
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.peer_reports import PeerReports
@@ -37,25 +33,12 @@
 from stoattray_core.steering.server_selector import ServerSelector
 from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.silence_detector import SilenceDetector
+from stoattray_core.steering.split_table import SplitTable
 
 REFRESH_MILLIS = 100
 """Time between measurements of the own load, after which the split is computed again.
 Peers report every 0.2 s."""
 
-MIN_LOGGED_CHANGE = 0.1
-"""Change of the share that may leave from which it is logged again."""
-
-
-class _Split(NamedTuple):
-    """Slots by data centre that this balancer may use, and the share that may leave."""
-
-    slots: dict[str, float]
-    share: float
-    reason: str
-
-
-NO_SPLIT = _Split({}, 0.0, "no_excess")
-
 
 class RemoteTraffic:
     """Decides which openings leave the data centre.
@@ -113,14 +96,10 @@
         self._selector = selector
         self._random = random
         self._on_event = on_event
-        self._reports = LoadReports(data_centre)
+        self._splits = SplitTable(data_centre, on_event)
         self._round_trips = RoundTrips(data_centre)
         self._speeds = DataCentreSpeeds()
         self._distances: dict[str, float] = {}
-        self._excess_at: dict[str, set[str]] = {}
-        self._loads: dict[str, dict[str, ServiceLoad]] = {}
-        self._splits: dict[str, _Split] = {}
-        self._logged: dict[str, _Split] = {}
         self._queues: dict[tuple[str, str], VirtualQueue] = {}
         self._local_slots: dict[str, float] = {}
         self._service_times: dict[str, float] = {}
@@ -149,7 +128,7 @@
 
     def merge(self, rows: Iterable[LoadRow], now: Millis) -> None:
         """Apply the rows of a peer's heartbeat."""
-        self._reports.merge(rows, now)
+        self._splits.reports.merge(rows, now)
 
     def rows(self, now: Millis) -> tuple[LoadRow, ...]:
         """Return the rows for a heartbeat.
@@ -158,7 +137,7 @@
         whose data centres are all near thus pay for one row of each service.
         """
         self._refresh(now)
-        return self._reports.rows(now, includes_others=bool(self._distances))
+        return self._splits.reports.rows(now, includes_others=bool(self._distances))
 
     def is_far(self, server: ServerRow) -> bool:
         """Return whether the rule applies to a server's data centre."""
@@ -213,8 +192,6 @@
         queue = self._queue(service, self._data_centre, service_time)
         queue.update(slots, now)
         per_slot = queue.per_slot(slots, service_time)
-        usable_near = [row for row in near if self._is_usable(row, now, avoid)]
-        local = self._avoid_queue(local, usable_near, service_time, now)
         remote = self._best_remote(usable_far, service, service_time, now)
         if remote is None:
             queue.add(service_time)
@@ -261,7 +238,7 @@
         With long queues, refused requests and old reports distort the service time: it
         fell from 49 to 15 ms in three seconds.
         """
-        has_excess = self._data_centre in self._excess_at.get(service, ())
+        has_excess = self._splits.has_excess(service)
         is_usable = not has_excess or service not in self._service_times
         if service_time is not None and is_usable:
             self._service_times[service] = service_time
@@ -273,22 +250,6 @@
         is_suspect = self._silence_detector.is_suspect(row, now)
         return row.accepts_flows and row not in avoid and not is_suspect
 
-    def _avoid_queue(
-        self,
-        local: ServerRow,
-        usable_near: list[ServerRow],
-        service_time: float,
-        now: Millis,
-    ) -> ServerRow:
-        """Return a local server with a shorter queue if that of `local` is long.
-
-        Selection goes by averaged reports. The latest reports only decide once a queue
-        is nearly full, as otherwise all balancers would select the same servers.
-        """
-        if not is_queue_nearly_full(local):
-            return local
-        return min(usable_near, key=lambda row: expected_millis(row, service_time, now))
-
     def _best_remote(
         self,
         usable_far: list[ServerRow],
@@ -297,7 +258,7 @@
         now: Millis,
     ) -> ServerRow | None:
         """Return the best far server that the split allows, or None."""
-        slots = self._splits.get(service, NO_SPLIT).slots
+        slots = self._splits.slots(service)
         allowed = set()
         for data_centre, n_slots in slots.items():
             queue = self._queue(service, data_centre, service_time)
@@ -323,7 +284,7 @@
         """
         data_centre = row.entry.data_centre
         millis = self._expected_millis(row, service_time, now)
-        load = self._loads.get(row.entry.service, {}).get(data_centre)
+        load = self._splits.load(row.entry.service, data_centre)
         if load is not None and load.capacity > 0.0:
             own_millis = self._service_time(row, service_time, now)
             millis = max(millis, load.load / load.capacity * own_millis)
@@ -354,10 +315,8 @@
         self._measure(local_peers, now)
         for data_centre in self._distances:
             if self._silence_detector.is_cut_off(data_centre, now):
-                self._reports.discard(data_centre, now)
-        for service in self._reports.services:
-            self._splits[service] = self._split(service, 1 + len(local_peers), now)
-            self._log_split(service, self._splits[service])
+                self._splits.reports.discard(data_centre, now)
+        self._splits.update(self._distances, 1 + len(local_peers), now)
 
     def _measure(self, local_peers: list[str], now: Millis) -> None:
         loads = offered_loads(
@@ -372,7 +331,7 @@
             usual_millis = self._service_times.get(service)
             slowdown = partial(self._slowdown, usual_millis=usual_millis, now=now)
             capacity = usable_capacity(rows, now, slowdown=slowdown)
-            self._reports.measure(service, load, capacity, now)
+            self._splits.reports.measure(service, load, capacity, now)
             n_local = 1 + len(local_peers)
             self._local_slots[service] = capacity / n_local
             if usual_millis is not None:
@@ -387,42 +346,6 @@
             return row.slowdown
         return self._service_time(row, usual_millis, now) / usual_millis
 
-    def _split(self, service: str, n_local: int, now: Millis) -> _Split:
-        """Return what this balancer may use elsewhere."""
-        loads = self._loads[service] = self._reports.loads(service, now)
-        before = self._excess_at.get(service, set())
-        excess_at = self._excess_at[service] = {
-            name
-            for name, load in loads.items()
-            if load.has_excess(had_excess=name in before)
-        }
-        if self._data_centre not in excess_at:
-            return NO_SPLIT
-        slots = split(loads, excess_at, self._data_centre, self._distances)
-        reason = "excess" if slots else "no_spare"
-        # Without a recent report, the spare capacity last reported is shared equally.
-        for name, load in self._reports.last_loads(service).items():
-            if name in self._distances and name not in loads and load.spare > 0.0:
-                slots[name] = load.spare
-                reason = "old_report"
-        share = min(1.0, sum(slots.values()) / loads[self._data_centre].load)
-        return _Split({name: n / n_local for name, n in slots.items()}, share, reason)
-
-    def _log_split(self, service: str, current: _Split) -> None:
-        """Log a split that differs noticeably from the one logged last."""
-        logged = self._logged.get(service, NO_SPLIT)
-        is_similar = abs(current.share - logged.share) < MIN_LOGGED_CHANGE
-        if is_similar and current.slots.keys() == logged.slots.keys():
-            return
-        self._logged[service] = current
-        self._on_event(
-            "split_changed",
-            service=service,
-            share=round(current.share, 2),
-            data_centres=",".join(sorted(current.slots)) or None,
-            reason=current.reason,
-        )
-
     def _note_left(
         self,
         server: ServerRow,
@@ -436,7 +359,7 @@
         if not self._on_event.is_enabled("opening_left"):
             self._on_event.note_suppressed("opening_left")
             return
-        load = self._loads.get(service, {}).get(data_centre)
+        load = self._splits.load(service, data_centre)
         self._on_event(
             "opening_left",
             server=server.name,
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -24,8 +24,15 @@
     MIN_SNAPSHOT_BYTES,
     Peers,
 )
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.replica import Difference, Version
-from tests.steering_builders import Balancer, configuration, heartbeat, member_entry
+from tests.steering_builders import (
+    Balancer,
+    configuration,
+    heartbeat,
+    member_entry,
+    server_entry,
+)
 
 N_CHUNKS = 10
 
@@ -79,6 +86,16 @@
         self.addCleanup(peers._socket.close)
         return peers
 
+    def test_loads_are_sent_only_where_settings_ask_for_them(self):
+        """Guards against heartbeats that grow everywhere."""
+        balancer = Balancer(remote_traffic=RemoteTrafficSettings(4.0))
+        balancer.declare(server_entry())
+        peers = self.build_peers(balancer)
+        self.assertEqual(len(peers.build_heartbeat(includes_load=True).load_rows), 1)
+        self.assertEqual(peers.build_heartbeat().load_rows, ())
+        unlimited = self.peers.build_heartbeat(includes_load=True)
+        self.assertEqual(unlimited.load_rows, ())
+
     @contextmanager
     def peer(self, seconds: float, *, stalls: bool = False):
         """Simulate a peer whose snapshot takes `seconds`, or stalls half-way."""
