--- a/packages/stoattray-core/src/stoattray_core/steering/locality.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/locality.py
@@ -27,15 +27,14 @@
 """Waiting requests from which a queue is about to be full; queues of servers differ by
 some requests. Trials: docs/design/0009."""
 
-CORRECTION_WEIGHT = 0.1
-"""Part of the difference between the work sent and the requests reported that each
-correction removes. Reports are too old to be followed at once."""
-
 BEGIN_LOAD = 0.9
 END_LOAD = 0.8
 """Offered load per slot from which a data centre has an excess, and below which it no
 longer has one. Data centres without an excess receive openings up to the first."""
 
+MIN_SLOTS = 0.01
+"""Parts of slots below this are not used."""
+
 SAME_DISTANCE_MILLIS = 2.0
 """Data centres whose extra round trips differ by less count as equally near: the
 follow-up times that they are measured by are whole milliseconds."""
@@ -179,8 +178,9 @@
     available = {
         name: part * loads[name].spare
         for name in distances
-        if name in loads and name not in excess_at and loads[name].spare > 0.0
+        if name in loads and name not in excess_at
     }
+    available = {n: s for n, s in available.items() if s >= MIN_SLOTS}
     slots: dict[str, float] = {}
     while available and remaining > 0.0:
         limit = min(distances[name] for name in available) + SAME_DISTANCE_MILLIS
@@ -193,13 +193,11 @@
     return slots
 
 
-class VirtualQueue:
-    """Work that one balancer has sent to its share of some slots.
+class SentWork:
+    """Work that one balancer has sent to slots elsewhere that it may use.
 
-    The work grows by the service time with each opening, and shrinks by the share as
-    time passes. Unlike the reports of peers it has no delay: in the 0.2 s between two
-    reports, enough openings arrive to fill the queues of an overloaded data centre. And
-    shares of less than one slot still get openings, at a lower rate.
+    The work grows by the service time with each opening, and shrinks by the slots as
+    time passes. Shares of less than one slot thus still get openings, at a lower rate.
 
     Parameters
     ----------
@@ -207,7 +205,7 @@
         Work at the start, in ms of one slot.
     """
 
-    def __init__(self, work_millis: float = 0.0) -> None:
+    def __init__(self, work_millis: float) -> None:
         self._work_millis = work_millis
         self._updated_at: Millis | None = None
 
@@ -221,15 +219,7 @@
         """Add the work of one opening."""
         self._work_millis += service_time
 
-    def correct(self, work_millis: float) -> None:
-        """Move the work towards what the reports of peers say."""
-        self._work_millis += CORRECTION_WEIGHT * (work_millis - self._work_millis)
-
     def has_room(self, slots: float, service_time: float) -> bool:
         """Return whether one more opening fits without a queue."""
         limit = max(1.0, slots) * service_time
         return slots > 0.0 and self._work_millis + service_time <= limit
-
-    def per_slot(self, slots: float, service_time: float) -> float:
-        """Return the openings in the work per slot."""
-        return self._work_millis / (slots * service_time) if slots > 0.0 else 0.0
--- a/packages/stoattray-core/src/stoattray_core/steering/remote_traffic.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/remote_traffic.py
@@ -17,13 +17,11 @@
     usable_capacity,
 )
 from stoattray_core.steering.locality import (
-    NEARLY_FULL_QUEUE,
     Reason,
     RemoteTrafficSettings,
-    VirtualQueue,
+    SentWork,
     expected_millis,
     is_queue_nearly_full,
-    n_ahead,
     reason_to_leave,
 )
 from stoattray_core.steering.members import MemberTable
@@ -100,8 +98,7 @@
         self._round_trips = RoundTrips(data_centre)
         self._speeds = DataCentreSpeeds()
         self._distances: dict[str, float] = {}
-        self._queues: dict[tuple[str, str], VirtualQueue] = {}
-        self._local_slots: dict[str, float] = {}
+        self._sent: dict[tuple[str, str], SentWork] = {}
         self._service_times: dict[str, float] = {}
         self._refreshed_at: Millis | None = None
 
@@ -188,33 +185,21 @@
         service_time = self._calm_service_time(service, service_time)
         if service_time is None:
             return local
-        slots = self._local_slots.get(service, 0.0)
-        queue = self._queue(service, self._data_centre, service_time)
-        queue.update(slots, now)
-        per_slot = queue.per_slot(slots, service_time)
         remote = self._best_remote(usable_far, service, service_time, now)
         if remote is None:
-            queue.add(service_time)
             return local
-        local_millis = max(
-            self._expected_millis(local, service_time, now),
-            (per_slot + 1.0) * service_time,
-        )
+        local_millis = self._expected_millis(local, service_time, now)
         remote_millis = self._remote_millis(remote, service_time, now)
-        n_waiting = (per_slot - 1.0) * local.entry.capacity
         reason = reason_to_leave(
             local_millis,
             remote_millis,
             target_millis,
-            is_nearly_full=(
-                n_waiting >= NEARLY_FULL_QUEUE or is_queue_nearly_full(local)
-            ),
+            is_nearly_full=is_queue_nearly_full(local),
         )
         if reason is None:
-            queue.add(service_time)
             return local
-        remote_queue = self._queue(service, remote.entry.data_centre, service_time)
-        remote_queue.add(self._service_time(remote, service_time, now))
+        sent = self._sent_work(service, remote.entry.data_centre, service_time)
+        sent.add(self._service_time(remote, service_time, now))
         self._note_left(remote, reason, now, local_millis, remote_millis)
         return remote
 
@@ -261,10 +246,10 @@
         slots = self._splits.slots(service)
         allowed = set()
         for data_centre, n_slots in slots.items():
-            queue = self._queue(service, data_centre, service_time)
-            queue.update(n_slots, now)
+            sent = self._sent_work(service, data_centre, service_time)
+            sent.update(n_slots, now)
             millis = self._speeds.service_time(data_centre, service, service_time, now)
-            if queue.has_room(n_slots, millis):
+            if sent.has_room(n_slots, millis):
                 allowed.add(data_centre)
         return min(
             (row for row in usable_far if row.entry.data_centre in allowed),
@@ -290,20 +275,18 @@
             millis = max(millis, load.load / load.capacity * own_millis)
         return millis + self._distances[data_centre] + self._settings.price_millis
 
-    def _queue(
+    def _sent_work(
         self, service: str, data_centre: str, service_time: float
-    ) -> VirtualQueue:
+    ) -> SentWork:
         """Return the work that was sent to a data centre.
 
         The work at the start is random, so that the first openings of all balancers do
         not leave at the same time.
         """
         key = service, data_centre
-        if key not in self._queues:
-            is_own = data_centre == self._data_centre
-            work = 0.0 if is_own else self._random.random() * service_time
-            self._queues[key] = VirtualQueue(work)
-        return self._queues[key]
+        if key not in self._sent:
+            self._sent[key] = SentWork(self._random.random() * service_time)
+        return self._sent[key]
 
     def _refresh(self, now: Millis) -> None:
         """Measure the own load and compute the splits, at most every 0.1 s."""
@@ -332,12 +315,6 @@
             slowdown = partial(self._slowdown, usual_millis=usual_millis, now=now)
             capacity = usable_capacity(rows, now, slowdown=slowdown)
             self._splits.reports.measure(service, load, capacity, now)
-            n_local = 1 + len(local_peers)
-            self._local_slots[service] = capacity / n_local
-            if usual_millis is not None:
-                queue = self._queue(service, self._data_centre, usual_millis)
-                n_requests = sum(n_ahead(row) for row in rows) / n_local
-                queue.correct(n_requests * usual_millis)
 
     def _slowdown(
         self, row: ServerRow, usual_millis: float | None, now: Millis
