--- a/tests/core/steering/test_far_load.py
+++ b/tests/core/steering/test_far_load.py
@@ -9,7 +9,7 @@
 
 from tests.far_fleet import far_fleet, figures, move_callers, set_even_load, set_loads
 
-FIRST = "luzon-a"
+FIRST, LAST = "luzon-a", "luzon-d"
 VERY_HIGH_PRICE_MILLIS = 60_000.0
 
 
@@ -163,6 +163,17 @@
             self.fleet.withheld_rows |= {b.own.name for b in balancers[::2]}
         self.assertGreater(self.overload_first().in_time, 0.97)
 
+    def test_partition_with_half_of_the_reports_old(self):
+        """Guards against openings that all try the data centre that is cut off."""
+        self.start()
+        self.fleet.withheld_at = self.fleet.now
+        for balancers in self.fleet.balancers.values():
+            self.fleet.withheld_rows |= {b.own.name for b in balancers[::2]}
+        self.fleet.cut_off = {LAST}
+        result = self.overload_first()
+        self.assertGreater(result.in_time, 0.95)
+        self.assertGreater(result.left, 0.05)
+
     def test_no_reports_leave_each_balancer_its_share_of_the_last_spare_capacity(self):
         self.start()
         self.fleet.withheld_at = self.fleet.now
