--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -119,6 +119,7 @@
             random=self._random,
             on_event=self._log,
             warm_up_bounds=settings.warm_up_bounds,
+            remote_traffic=settings.remote_traffic,
         )
         self._forwarder = PacketForwarder(
             self._steering,
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -10,6 +10,7 @@
 from stoattray_core.steering.admission import AdmissionControl, Overload, may_wait
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.entries import Route
+from stoattray_core.steering.protocols import FarServerRule
 from stoattray_core.steering.server_selector import ServerSelector, draw_service
 from stoattray_core.steering.servers import ServerRow
 from stoattray_core.steering.warm_up_limit import WarmUpLimit
@@ -45,6 +46,9 @@
         because of an evacuation.
     random : Random
         Draws a service by weight.
+    far_rule : FarServerRule or None
+        Selects the server if some candidates are in far data centres; None if the
+        settings set no limit for the traffic between data centres.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         service_time: Callable[[str], float | None],
         counters: Counter[str],
         random: Random,
+        far_rule: FarServerRule | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._selector = selector
@@ -65,6 +70,7 @@
         self._service_time = service_time
         self._counters = counters
         self._random = random
+        self._far_rule = far_rule
 
     def select(
         self,
@@ -96,7 +102,7 @@
         service = draw_service(route, self._random)
         exclusion = self._warm_up.exclusion(service, now)
         rows = self._cluster_state.servers.candidates(service, self._random, exclusion)
-        server = self._selector.select(rows, now, avoid=avoid)
+        server = self._select_server(rows, service, route, now, avoid)
         if exclusion is not None and exclusion.withheld:
             self._warm_up.note_withheld(exclusion, now)
             if server is None:
@@ -118,6 +124,26 @@
             return overload
         return server
 
+    def _select_server(
+        self,
+        rows: list[ServerRow],
+        service: str,
+        route: Route,
+        now: Millis,
+        avoid: list[ServerRow],
+    ) -> ServerRow | None:
+        """Return the best candidate of a service, or None if there is none."""
+        if self._far_rule is None or not self._far_rule.applies_to(rows):
+            return self._selector.select(rows, now, avoid=avoid)
+        return self._far_rule.select(
+            rows,
+            service,
+            route.target_latency_millis,
+            self._service_time(service),
+            now,
+            avoid=avoid,
+        )
+
     def _refuse_for_cold(self, route: Route) -> Refused:
         """Refuse an opening because all servers are cold and withheld."""
         is_deferred = may_wait(route)
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -206,6 +206,11 @@
     def __iter__(self) -> Iterator[ServerRow]:
         return iter(self._rows.values())
 
+    @property
+    def services(self) -> set[str]:
+        """Return the services that servers are known of."""
+        return self._local.keys() | self._remote.keys()
+
     def get(self, name: str) -> ServerRow | None:
         """Return a listed or lapsed server."""
         return self._rows.get(name)
@@ -214,6 +219,10 @@
         """Return the servers of a service, draining ones included."""
         return self._local.get(service, []) + self._remote.get(service, [])
 
+    def local_of_service(self, service: str) -> list[ServerRow]:
+        """Return a service's servers in this data centre, draining ones included."""
+        return self._local.get(service, [])
+
     def n_of_service(self, service: str) -> int:
         """Return the number of servers of a service, without evacuated ones."""
         local, remote = self._usable_rows(service)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -30,10 +30,13 @@
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
+from stoattray_core.steering.load_reports import LoadRow
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.packet import Packet, flow_name
 from stoattray_core.steering.peer_reports import PeerReports
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
+from stoattray_core.steering.remote_traffic import RemoteTraffic
 from stoattray_core.steering.replica import Difference, Replica
 from stoattray_core.steering.response_monitor import ResponseMonitor
 from stoattray_core.steering.server_selector import ServerSelector
@@ -91,6 +94,8 @@
         Breaks ties.
     on_event : EventSink
         Receives events.
+    remote_traffic : RemoteTrafficSettings or None
+        Limits the traffic between data centres; None for no limit.
     """
 
     def __init__(
@@ -102,6 +107,7 @@
         random: Random,
         on_event: EventSink,
         warm_up_bounds: WarmUpBounds | None = None,
+        remote_traffic: RemoteTrafficSettings | None = None,
     ) -> None:
         self.counters: Counter[str] = Counter()
         evacuations = Evacuations()
@@ -126,6 +132,7 @@
         self.follow_up_times = Histogram()
         self._random = random
         self._on_event = on_event
+        self._own_data_centre = own.data_centre
         self._silence_detector = SilenceDetector(own.data_centre)
         self._flows = FlowTable()
         self._failure_detector = FastFailureDetector()
@@ -137,16 +144,32 @@
             self._admission,
             on_event,
         )
+        self._peer_reports = PeerReports(self.servers, self._failure_detector)
+        selector = ServerSelector(own.data_centre, self._silence_detector, random)
+        self.remote_traffic: RemoteTraffic | None = None
+        if remote_traffic is not None:
+            self.remote_traffic = RemoteTraffic(
+                own.data_centre,
+                remote_traffic,
+                servers=self.servers,
+                members=self.members,
+                peer_reports=self._peer_reports,
+                silence_detector=self._silence_detector,
+                selector=selector,
+                random=random,
+                on_event=on_event,
+            )
+            self._response_monitor.on_response = self.remote_traffic.note_response
         self._placement = FlowPlacement(
             self.cluster_state,
-            ServerSelector(own.data_centre, self._silence_detector, random),
+            selector,
             self._admission,
             warm_up=self.warm_up,
             service_time=self._service_time,
             counters=self.counters,
             random=random,
+            far_rule=self.remote_traffic,
         )
-        self._peer_reports = PeerReports(self.servers, self._failure_detector)
         self._last_tick_at: Millis | None = None
         self._detect_silence_from: Millis = 0
         self._drop_openings_until: Millis = 0
@@ -232,6 +255,10 @@
             if row.n_pending_requests > 0
         }
 
+    def load_rows(self, now: Millis) -> tuple[LoadRow, ...]:
+        """Return the loads for a heartbeat; none unless settings ask for them."""
+        return () if self.remote_traffic is None else self.remote_traffic.rows(now)
+
     def exclude_backlog(self, now: Millis) -> None:
         """Exclude packets queued before the start from silence detection."""
         self._detect_silence_from = now + BACKLOG_MILLIS
@@ -257,6 +284,8 @@
         """
         was_silent = self.members.receive_heartbeat(heartbeat, now)
         self._peer_reports.apply(heartbeat, now)
+        if self.remote_traffic is not None:
+            self.remote_traffic.merge(heartbeat.load_rows, now)
         if heartbeat.recovery_age is not None:
             self.store_health.note_peer_recovery(heartbeat.recovery_age, now)
         # Two empty replicas (revision 0) must not confirm each other.
@@ -449,6 +478,7 @@
             server=server.name,
             service=server.entry.service,
             data_centre=server.entry.data_centre,
+            opened_in=self._own_data_centre,
             n_open=server.n_open,
             peer_load=round(server.peer_load, 2),
             is_suspect=self.is_suspect(server, now),
@@ -495,6 +525,8 @@
         waited_millis = now - flow.sent_at if len(flow.tried_servers) == 1 else None
         if waited_millis is not None:
             self.follow_up_times.observe(waited_millis)
+            if self.remote_traffic is not None:
+                self.remote_traffic.note_follow_up(flow.server, waited_millis)
         was_silent = flow.server.n_silent > 0
         self.warm_up.cold_servers.note_answer(flow.server, now, was_silent=was_silent)
         if self._silence_detector.note_follow_up(flow.server, waited_millis, now):
