--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -10,6 +10,7 @@
 from stoattray_core.steering.admission import AdmissionControl, Overload, may_wait
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.entries import Route
+from stoattray_core.steering.heartbeat import MAX_CONFIRMED_AGE_MILLIS
 from stoattray_core.steering.protocols import FarServerRule
 from stoattray_core.steering.server_selector import ServerSelector, draw_service
 from stoattray_core.steering.servers import ServerRow
@@ -42,8 +43,9 @@
     service_time : callable
         Returns a service's time in ms without the round trip, or None if unknown.
     counters : Counter
-        Counts the openings that are deferred, refused for overload, or without a server
-        because of an evacuation.
+        Counts the openings that are deferred, refused for overload, without a server
+        because of an evacuation, or sent to evacuated servers of an isolated data
+        centre.
     random : Random
         Draws a service by weight.
     far_rule : FarServerRule or None
@@ -102,6 +104,8 @@
         service = draw_service(route, self._random)
         exclusion = self._warm_up.exclusion(service, now)
         rows = self._cluster_state.servers.candidates(service, self._random, exclusion)
+        if self._is_isolated(rows, now):
+            rows = self._isolated_candidates(service, exclusion) or rows
         server = self._select_server(rows, service, route, now, avoid)
         if exclusion is not None and exclusion.withheld:
             self._warm_up.note_withheld(exclusion, now)
@@ -124,6 +128,28 @@
             return overload
         return server
 
+    def _is_isolated(self, rows: list[ServerRow], now: Millis) -> bool:
+        """Return whether this data centre is cut off from all servers elsewhere.
+
+        Only such a data centre may use its own evacuated servers, as nothing else can
+        serve its callers. The replica must be unconfirmed as well: then neither the
+        store nor a peer that reaches it is reachable.
+        """
+        age = self._cluster_state.confirmed_age(now)
+        return age > MAX_CONFIRMED_AGE_MILLIS and not self._selector.has_usable(
+            rows, now
+        )
+
+    def _isolated_candidates(
+        self, service: str, exclusion: Callable[[ServerRow], bool] | None
+    ) -> list[ServerRow]:
+        rows = self._cluster_state.servers.evacuated_local_candidates(
+            service, self._random, exclusion
+        )
+        if rows:
+            self._counters["openings_isolated"] += 1
+        return rows
+
     def _select_server(
         self,
         rows: list[ServerRow],
--- a/packages/stoattray-core/src/stoattray_core/steering/server_selector.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/server_selector.py
@@ -56,6 +56,13 @@
         self._silence_detector = silence_detector
         self._random = random
 
+    def has_usable(self, rows: Sequence[ServerRow], now: Millis) -> bool:
+        """Return whether any of `rows` accepts flows and is not suspect."""
+        return any(
+            row.accepts_flows and not self._silence_detector.is_suspect(row, now)
+            for row in rows
+        )
+
     def select(
         self,
         rows: Sequence[ServerRow],
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -261,6 +261,23 @@
             remote, N_REMOTE_CANDIDATES, random
         )
 
+    def evacuated_local_candidates(
+        self,
+        service: str,
+        random: Random,
+        is_excluded: Callable[[ServerRow], bool] | None = None,
+    ) -> list[ServerRow]:
+        """Return servers of this data centre that an evacuation alone excludes.
+
+        See `candidates` for the parameters.
+        """
+        if not self._evacuations.is_evacuated(self._data_centre):
+            return []
+        rows = self._local.get(service, [])
+        if is_excluded is not None:
+            rows = [row for row in rows if not is_excluded(row)]
+        return _random_window(rows, N_LOCAL_CANDIDATES, random)
+
     def is_evacuated(self, server: ServerRow) -> bool:
         """Return whether the data centre of a server is evacuated."""
         return self._evacuations.is_evacuated(server.entry.data_centre)
