balancer: import logging with the first line, and no statistics

Cause: the first packet after a start waits for the imports; two new modules imported statistics again (test_imports fails on main), and logging with what formats lines takes a tenth of the rest. Change: EventLog keeps events until the first write, 0.1 s after the start, when it imports _line_buffer; their time is that of the event. One median for three modules.

--- a/deploy/tests/test_imports.py
+++ b/deploy/tests/test_imports.py
@@ -10,6 +10,7 @@
 
 LATE_OR_UNUSED = (
     "falcon",
+    "logging",
     "opentelemetry",
     "pydantic",
     "requests",
--- a/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_logs.py
@@ -4,6 +4,7 @@
 import logging
 import sys
 import time
+from collections.abc import Mapping
 
 LOGGER = logging.getLogger("stoattray")
 
@@ -37,8 +38,13 @@
     """Log one event; values that contain special characters are JSON-quoted."""
     if not LOGGER.isEnabledFor(severity):
         return
+    LOGGER.log(severity, "%s", format_event(name, fields))
+
+
+def format_event(name: str, fields: Mapping[str, FieldValue]) -> str:
+    """Return an event as key=value pairs; special characters are JSON-quoted."""
     pairs = [f"{key}={_quote(value)}" for key, value in fields.items()]
-    LOGGER.log(severity, "%s", " ".join([f"event={name}", *pairs]))
+    return " ".join([f"event={name}", *pairs])
 
 
 def _quote(value: FieldValue) -> str:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
@@ -3,24 +3,27 @@
 Lines are buffered and written ten times a second to a non-blocking descriptor, so that
 logging never delays packets. Lines beyond the buffer are dropped; dropped and
 rate-limited lines are counted, and the counts logged.
+
+The module `logging` and what formats lines are imported when lines are first written.
+At the start that is after the first packet: their import takes a tenth of the start.
 """
 
-import logging
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import gevent
 
-from stoattray_balancer._logs import LOGGER, KeyValueFormatter, log_event
 from stoattray_core._identifiers import Millis
 
+if TYPE_CHECKING:
+    from stoattray_balancer.steering._line_buffer import LineBuffer
+
 FLUSH_SECONDS = 0.1
 """Time between writes; each system call then writes many lines."""
 
-MAX_BUFFERED_BYTES = 262_144
-"""Bound of the buffer while nothing can be written; about a second at the peak rate."""
-
 MAX_ROUTINE_LINES_PER_SECOND = 5
 """Rate limit for each kind of event in `ROUTINE_EVENTS`."""
 
@@ -34,6 +37,12 @@
     {"flow_opened", "flow_ended", "opening_left", "warm_up_limited"}
 )
 
+INFO = "info"
+"""Level at which events are written."""
+
+FieldValue = str | int | float | bool | None
+_EarlyEvent = tuple[str, dict[str, FieldValue], float]
+
 
 class EventLog:
     """Writes events as lines of key=value pairs, rate-limited for each kind.
@@ -52,21 +61,26 @@
         self._second = 0
         self._n_logged: Counter[str] = Counter()
         self._n_suppressed: Counter[str] = Counter()
-        self._handler = _BufferHandler()
+        self._level = INFO
+        self._lines: LineBuffer | None = None
+        self._early_events: list[_EarlyEvent] = []
         self.n_bytes_written = 0
         os.set_blocking(descriptor, False)
 
-    def __call__(self, name: str, **fields: str | int | float | bool | None) -> None:
+    def __call__(self, name: str, **fields: FieldValue) -> None:
         """Write one event unless its kind has reached its rate limit."""
         if not self.is_enabled(name):
             self.note_suppressed(name)
             return
         self._n_logged[name] += 1
-        log_event(name, **fields)
+        if self._lines is None:
+            self._early_events.append((name, fields, time.time()))
+        else:
+            self._lines.write(name, fields)
 
     def is_enabled(self, name: str) -> bool:
         """Return whether an event of this kind would be written now."""
-        if not LOGGER.isEnabledFor(logging.INFO):
+        if self._level != INFO:
             return False
         second = self._clock() // 1_000
         if second != self._second:
@@ -81,15 +95,14 @@
 
     def note_suppressed(self, name: str) -> None:
         """Count a rate-limited event, but not one below the log level."""
-        if LOGGER.isEnabledFor(logging.INFO):
+        if self._level == INFO:
             self._n_suppressed[name] += 1
 
     def configure(self, level: str) -> None:
-        """Send all events of this process to this log, from `level` on."""
-        self._handler.setFormatter(KeyValueFormatter())
-        LOGGER.handlers[:] = [self._handler]
-        LOGGER.setLevel(level.upper())
-        LOGGER.propagate = False
+        """Write the events of this process from `level` on: ``info`` or ``error``."""
+        self._level = level
+        if self._lines is not None:
+            self._lines.set_level(level)
 
     def run(self) -> None:
         """Write buffered lines periodically, forever."""
@@ -104,7 +117,8 @@
 
     def flush(self) -> None:
         """Write as many buffered lines as the descriptor accepts."""
-        buffered = self._handler.take_all()
+        lines = self._open()
+        buffered = lines.take_all()
         if not buffered:
             return
         try:
@@ -115,38 +129,23 @@
             self._n_suppressed["unwritable"] += buffered.count(b"\n")
             return
         self.n_bytes_written += n_bytes
-        n_dropped = self._handler.put_back(buffered[n_bytes:])
+        n_dropped = lines.put_back(buffered[n_bytes:])
         if n_dropped:
             self._n_suppressed["unread"] += n_dropped
 
+    def _open(self) -> "LineBuffer":
+        """Return the buffer of lines; the first call writes the early events to it."""
+        if self._lines is None:
+            from stoattray_balancer.steering._line_buffer import LineBuffer
+
+            self._lines = LineBuffer(self._level)
+            early_events, self._early_events = self._early_events, []
+            for name, fields, created in early_events:
+                self._lines.write(name, fields, created=created)
+        return self._lines
+
     def _log_suppressed(self) -> None:
         counted, self._n_suppressed = self._n_suppressed, Counter()
         for name, n_events in counted.items():
-            log_event("events_left_out", kind=name, n_events=n_events)
-
-
-class _BufferHandler(logging.Handler):
-    """Buffers formatted lines until they are written."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._lines = bytearray()
-        self._n_dropped = 0
-
-    def emit(self, record: logging.LogRecord) -> None:
-        if len(self._lines) >= MAX_BUFFERED_BYTES:
-            self._n_dropped += 1
-            return
-        self._lines += self.format(record).encode("utf-8", "replace") + b"\n"
-
-    def take_all(self) -> bytes:
-        """Return all buffered lines and empty the buffer."""
-        lines = bytes(self._lines)
-        self._lines.clear()
-        return lines
-
-    def put_back(self, unwritten: bytes) -> int:
-        """Buffer unwritten bytes again; return the number of lines dropped so far."""
-        self._lines[:0] = unwritten
-        n_dropped, self._n_dropped = self._n_dropped, 0
-        return n_dropped
+            fields = {"kind": name, "n_events": n_events}
+            self._open().write("events_left_out", fields)
--- a/packages/stoattray-core/src/stoattray_core/steering/data_centre_speeds.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/data_centre_speeds.py
@@ -6,9 +6,9 @@
 """
 
 from collections import deque
-from statistics import median
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering._median import median
 
 N_SAMPLES = 15
 """Latest responses of a service in one data centre that a median is taken of."""
--- a/packages/stoattray-core/src/stoattray_core/steering/round_trips.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/round_trips.py
@@ -5,9 +5,9 @@
 """
 
 from collections import deque
-from statistics import median
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering._median import median
 
 N_SAMPLES = 15
 """Latest follow-up times that a median is taken of. A single late packet hardly changes
--- a/packages/stoattray-core/src/stoattray_core/steering/service_times.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/service_times.py
@@ -5,6 +5,7 @@
 """
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering._median import median
 
 N_FIRST_SAMPLES = 20
 """Responses of a service before its service time is used."""
@@ -59,16 +60,9 @@
         samples = self._first_samples.setdefault(service, [])
         samples.append(sample)
         if len(samples) >= N_FIRST_SAMPLES:
-            self._medians[service] = max(1.0, _median(samples))
+            self._medians[service] = max(1.0, median(samples))
             del self._first_samples[service]
 
     def get(self, service: str) -> float | None:
         """Return a service's time in ms including a round trip, or None if unknown."""
         return self._medians.get(service)
-
-
-def _median(samples: list[float]) -> float:
-    """Return the median; importing `statistics` takes 5 % of a process's start."""
-    ordered = sorted(samples)
-    middle = len(ordered) // 2
-    return (ordered[middle] + ordered[~middle]) / 2
--- a/tests/balancer/steering/test_event_log.py
+++ b/tests/balancer/steering/test_event_log.py
@@ -3,10 +3,11 @@
 import logging
 import os
 import unittest
+from unittest import mock
 
 from stoattray_balancer._logs import LOGGER
+from stoattray_balancer.steering._line_buffer import MAX_BUFFERED_BYTES
 from stoattray_balancer.steering.event_log import (
-    MAX_BUFFERED_BYTES,
     MAX_OTHER_LINES_PER_SECOND,
     MAX_ROUTINE_LINES_PER_SECOND,
     EventLog,
@@ -79,7 +80,7 @@
             if second % 50 == 0:
                 self.log.flush()
         self.log.flush()
-        self.assertLess(len(self.log._handler._lines), MAX_BUFFERED_BYTES + 1_000)
+        self.assertLess(len(self.log._lines), MAX_BUFFERED_BYTES + 1_000)
         self.assertGreater(self.log._n_suppressed["unread"], 0)
 
     def test_closed_pipe_is_ignored(self):
@@ -94,4 +95,20 @@
 
     def test_log_level_is_applied(self):
         self.log.configure("error")
+        self.log.flush()
         self.assertFalse(LOGGER.isEnabledFor(logging.INFO))
+        self.log("started")
+        self.log.configure("info")
+        self.assertTrue(LOGGER.isEnabledFor(logging.INFO))
+        self.log("stopped")
+        lines = self.read()
+        self.assertEqual(len(lines), 1)
+        self.assertIn("event=stopped", lines[0])
+
+    def test_events_before_the_first_write_keep_their_time(self):
+        """Guards against starts that seem later than they were."""
+        with mock.patch("time.time", return_value=86_400.25):
+            self.log("started", member="edge-1")
+        [line] = self.read()
+        self.assertTrue(line.startswith("time=1970-01-02T00:00:00.250Z level=info "))
+        self.assertIn("event=started member=edge-1", line)
