core: refuse openings by priority level, with a cut-off that balancers share

Cause: a route only knew whether another one of its service has a lower priority, and each balancer drew its refusals alone. Levels were not strict, and one balancer could refuse a higher level while another admitted a lower one to the same servers. Change: with the settings object `contention`, services whose routes have at least two priorities get a cut-off (lowest admitted level, admitted share), adapted to the response times of the highest levels and to the queue of the best server, and shared in one appended heartbeat field that is sent only while a cut-off is not open. A cut-off of one service takes at most 20 bytes of a heartbeat, none while nothing is in contention.

--- a/deploy/tests/test_record_decoder.py
+++ b/deploy/tests/test_record_decoder.py
@@ -1,6 +1,7 @@
 """Valid, malformed and unrelated records of the store."""
 
 import json
+import math
 import unittest
 
 from hypothesis import given
@@ -122,6 +123,20 @@
         ]
         self.assertEqual(times, [(120, 800), (None, 1_000)])
 
+    def test_priorities_are_taken_as_configured(self):
+        decoded = self.decoder.decode(build_configuration_record())
+        priorities = [route.priority for route in decoded.routes.values()]
+        self.assertEqual(priorities, [2, 1])
+
+    def test_unusual_priority_does_not_refuse_the_configuration(self):
+        body = build_configuration_body()
+        for value, expected in ((-1, 0), (1.0, 1), (math.inf, 1_000_000)):
+            body["routes"][0]["priority"] = value
+            record = build_configuration_record(routes=body["routes"])
+            with self.subTest(value):
+                route = next(iter(self.decoder.decode(record).routes.values()))
+                self.assertEqual(route.priority, expected)
+
     def test_routes_and_shares(self):
         read = self.decoder.decode(build_configuration_record())
         self.assertIsInstance(read, Configuration)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -15,6 +15,7 @@
 from stoattray_balancer.steering._frames import MAX_FRAME_BYTES
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.replica import Difference, Record, Version
@@ -49,10 +50,19 @@
             heartbeat.failing_cookies,
             heartbeat.first_reader,
             heartbeat.era,
+            *_appended_fields(heartbeat),
         ]
     )
 
 
+def _appended_fields(heartbeat: Heartbeat) -> list[Any]:
+    """Return the trailing fields, without those at the end that have their default."""
+    fields = [heartbeat.cut_offs]
+    while fields and not fields[-1]:
+        del fields[-1]
+    return fields
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat | Refused:
     """Return the heartbeat in a datagram, or why it is refused."""
     try:
@@ -71,6 +81,7 @@
         failing_cookies = row[9] if len(row) > 9 else ()
         first_reader = row[10] if len(row) > 10 else None
         era = row[11] if len(row) > 11 else 0
+        cut_offs = row[12] if len(row) > 12 else ()
         if version != FORMAT_VERSION:
             return Refused(
                 ErrorKind.MESSAGE_BAD_VERSION, f"unsupported version {version!r}"
@@ -90,6 +101,7 @@
             failing_cookies=tuple(_read_number(cookie) for cookie in failing_cookies),
             first_reader=None if first_reader is None else _read_reader(first_reader),
             era=_read_number(era),
+            cut_offs=tuple(_read_cut_off(cut_off) for cut_off in cut_offs),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
@@ -207,6 +219,18 @@
     return name, _read_number(age)
 
 
+def _read_cut_off(row: Any) -> CutOffReport:
+    service, level, share_permille, age, *_ = row
+    if not isinstance(service, str):
+        raise TypeError("service of a cut-off must be a string")
+    return CutOffReport(
+        service,
+        _read_number(level),
+        _read_number(share_permille),
+        _read_number(age),
+    )
+
+
 def _read_number(value: Any) -> int:
     if type(value) is not int or value < 0:
         raise TypeError(f"{value!r} is not a non-negative integer")
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -228,6 +228,7 @@
             first_reader=steering.members.first_reader(
                 now, confirmed_age if is_reader else None
             ),
+            cut_offs=steering.cut_off_reports(now),
         )
 
     def _send_heartbeats(self, *, include_remote: bool) -> None:
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -119,6 +119,7 @@
             flow_life_millis=settings.flow_life_ms,
             random=self._random,
             on_event=self._log,
+            contention=settings.contention,
         )
         self._forwarder = PacketForwarder(
             self._steering,
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -5,6 +5,7 @@
 
 from stoattray_core._errors import ErrorKind, StoattrayError
 from stoattray_core._identifiers import Address
+from stoattray_core.steering.contention import ContentionSettings
 
 LOG_LEVELS = ("info", "error")
 FIXED_AT_START = (
@@ -17,6 +18,7 @@
     "peer_port",
     "min_lease_ms",
     "flow_life_ms",
+    "contention",
 )
 """Settings that take effect only after a restart; others are applied on reload."""
 
@@ -40,6 +42,7 @@
     flow_life_ms: int
     grace_ms: int
     log_level: str
+    contention: ContentionSettings | None
 
 
 def load_steering_settings(path: str) -> SteeringSettings:
@@ -63,8 +66,9 @@
 class _SettingsReader:
     """Reads typed and range-checked values from a JSON object."""
 
-    def __init__(self, values: dict[str, Any]) -> None:
+    def __init__(self, values: dict[str, Any], prefix: str = "") -> None:
         self._values = values
+        self._prefix = prefix
 
     def read(self) -> SteeringSettings:
         host = self._text("host")
@@ -87,6 +91,22 @@
             flow_life_ms=int(self._number("flow_life_seconds", 1, 86_400) * 1_000),
             grace_ms=int(self._number("grace_seconds", 1, 3_600) * 1_000),
             log_level=self._choice("log_level", LOG_LEVELS),
+            contention=self._contention(),
+        )
+
+    def _contention(self) -> ContentionSettings | None:
+        values = self._values.get("contention")
+        if values is None:
+            return None
+        if not isinstance(values, dict):
+            raise _invalid(f"contention: {values!r} is not an object")
+        defaults = ContentionSettings()
+        unknown = sorted(values.keys() - set(ContentionSettings._fields))
+        if unknown:
+            raise _invalid(f"contention: {unknown[0]!r} is unknown")
+        reader = _SettingsReader({**defaults._asdict(), **values}, "contention.")
+        return ContentionSettings(
+            queue_places=int(reader._number("queue_places", 1, 10_000))
         )
 
     def _value(self, name: str, default: Any = _UNSET) -> Any:
@@ -110,10 +130,11 @@
 
     def _number(self, name: str, minimum: float, maximum: float) -> float:
         value = self._value(name)
+        path = self._prefix + name
         if isinstance(value, bool) or not isinstance(value, int | float):
-            raise _invalid(f"{name}: {value!r} is not a number")
+            raise _invalid(f"{path}: {value!r} is not a number")
         if not minimum <= value <= maximum:
-            raise _invalid(f"{name}: {value} is not from {minimum:g} to {maximum:g}")
+            raise _invalid(f"{path}: {value} is not from {minimum:g} to {maximum:g}")
         return value
 
     def _address(self, name: str) -> Address:
--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -20,10 +20,12 @@
 ones the queues.
 """
 
+import math
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering.contention import Contender, Refusal
 from stoattray_core.steering.entries import Route
 from stoattray_core.steering.servers import ServerRow
 
@@ -92,6 +94,8 @@
         Probability of a refusal by the controller.
     is_deferred : bool
         Whether the caller is to retransmit the opening.
+    refusal : Refusal or None
+        Priority level and cut-off; None if the service has no levels.
     """
 
     server: ServerRow
@@ -100,6 +104,34 @@
     response_millis: float
     probability: float
     is_deferred: bool = False
+    refusal: Refusal | None = None
+
+
+class PriorityOrder(Protocol):
+    """Order of refusal between the priority levels of a service."""
+
+    def applies(self, service: str) -> bool:
+        """Return whether the routes of a service have at least two priorities."""
+
+    def note_response(
+        self, service: str, destination: bytes, waited_millis: Millis, now: Millis
+    ) -> None:
+        """Note a response, `waited_millis` after its request."""
+
+    def note_offered(self, contender: Contender, now: Millis) -> None:
+        """Note an opening before it is decided."""
+
+    def check(self, contender: Contender, now: Millis) -> Refusal | None:
+        """Return why an opening is refused, or None if it is admitted."""
+
+    def explain(self, contender: Contender, now: Millis) -> Refusal:
+        """Return the level of an opening and the cut-off in force."""
+
+    def note_admitted(self, contender: Contender, now: Millis) -> None:
+        """Note that an opening was admitted."""
+
+    def note_refused(self, contender: Contender, *, is_deferred: bool) -> None:
+        """Note that an opening was refused or deferred."""
 
 
 class _ResponseTime:
@@ -165,10 +197,13 @@
     ----------
     random : Random
         Draws the openings to refuse.
+    order : PriorityOrder or None
+        Replaces the draw for services with priority levels; None if it is off.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, order: PriorityOrder | None = None) -> None:
         self._random = random
+        self._order = order
         self._response_times: dict[str, _ResponseTime] = {}
         self._controllers: dict[bytes, _Controller] = {}
         self._recovering_until: Millis = 0
@@ -177,9 +212,18 @@
         """Note that this balancer begins to forward packets."""
         self._recovering_until = now + RECOVERY_MILLIS
 
-    def note_response(self, service: str, waited_millis: Millis, now: Millis) -> None:
+    def note_response(
+        self,
+        service: str,
+        waited_millis: Millis,
+        now: Millis,
+        *,
+        destination: bytes = b"",
+    ) -> None:
         """Note a response of a service, `waited_millis` after its request."""
         self._response_time(service).add(waited_millis, now)
+        if self._order is not None:
+            self._order.note_response(service, destination, waited_millis, now)
 
     def check(
         self,
@@ -205,6 +249,14 @@
         is_retransmission : bool
             Whether the caller has sent the opening before.
         """
+        if self._order is not None and self._order.applies(server.entry.service):
+            return self._check_levels(
+                self._order,
+                Contender(server, route),
+                service_time,
+                now,
+                is_retransmission=is_retransmission,
+            )
         target = route.target_latency_millis
         if not target:
             return None
@@ -218,14 +270,9 @@
                 MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
             )
             return _check_queue(server, target, max_per_slot, now)
-        capacity = server.capacity(now)
-        n_reported = server.n_pending_requests + server.n_peer_requests + 1
-        if n_reported <= MAX_UNREFUSED_PER_SLOT * capacity:
+        if not _has_queue(server, now):
             return None
-        expected = None
-        if service_time is not None:
-            n_certain = server.n_certain_requests + 1
-            expected = n_certain * service_time * server.slowdown / capacity
+        expected = _expected_millis(server, service_time, now)
         ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
         is_late = expected is not None and expected > ratio * target
         if not is_late and self._random.random() >= controller.probability:
@@ -238,6 +285,61 @@
             controller.probability,
         )
 
+    def _check_levels(
+        self,
+        order: PriorityOrder,
+        contender: Contender,
+        service_time: float | None,
+        now: Millis,
+        *,
+        is_retransmission: bool,
+    ) -> Overload | None:
+        """Return why an opening of a service with priority levels is refused."""
+        order.note_offered(contender, now)
+        overload = self._find_level_overload(
+            order, contender, service_time, now, is_retransmission=is_retransmission
+        )
+        if overload is None:
+            order.note_admitted(contender, now)
+        else:
+            order.note_refused(contender, is_deferred=overload.is_deferred)
+        return overload
+
+    def _find_level_overload(
+        self,
+        order: PriorityOrder,
+        contender: Contender,
+        service_time: float | None,
+        now: Millis,
+        *,
+        is_retransmission: bool,
+    ) -> Overload | None:
+        server, route = contender
+        target = route.target_latency_millis
+        if target and now < self._recovering_until and _may_wait(route):
+            max_per_slot = (
+                MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
+            )
+            return _check_queue(server, target, max_per_slot, now)
+        if not _has_queue(server, now):
+            return None
+        expected = _expected_millis(server, service_time, now)
+        ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
+        max_millis = ratio * target if target else math.inf
+        refusal = order.check(contender, now)
+        if refusal is None and expected is not None and expected > max_millis:
+            refusal = order.explain(contender, now)
+        if refusal is None:
+            return None
+        return Overload(
+            server,
+            expected,
+            max_millis,
+            self._response_time(server.entry.service).millis,
+            0.0,
+            refusal=refusal,
+        )
+
     def _response_time(self, service: str) -> _ResponseTime:
         response_time = self._response_times.get(service)
         if response_time is None:
@@ -251,6 +353,22 @@
     return None not in (timeout, target) and timeout >= OPENING_MILLIS + target
 
 
+def _has_queue(server: ServerRow, now: Millis) -> bool:
+    """Return whether a server has a queue, by the latest reports."""
+    n_reported = server.n_pending_requests + server.n_peer_requests + 1
+    return n_reported > MAX_UNREFUSED_PER_SLOT * server.capacity(now)
+
+
+def _expected_millis(
+    server: ServerRow, service_time: float | None, now: Millis
+) -> float | None:
+    """Return the expected response time; None if the service time is unknown."""
+    if service_time is None:
+        return None
+    n_certain = server.n_certain_requests + 1
+    return n_certain * service_time * server.slowdown / server.capacity(now)
+
+
 def _check_queue(
     server: ServerRow, target: Millis, max_per_slot: float, now: Millis
 ) -> Overload | None:
--- /dev/null
+++ b/packages/stoattray-core/src/stoattray_core/steering/contention.py
@@ -0,0 +1,249 @@
+"""Contention between the callers of a service with too little capacity.
+
+Decides the order of refusal. Applies to services whose routes have at least two
+priorities, and only where the settings switch it on. It combines the decisions of
+`priority_levels` and `cut_offs` for admission control.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from stoattray_core._identifiers import Millis
+from stoattray_core.steering.cut_offs import (
+    CutOffReport,
+    PeerCutOffs,
+    ServiceCutOff,
+)
+from stoattray_core.steering.entries import Configuration, Route
+from stoattray_core.steering.priority_levels import (
+    CutOff,
+    LowerLevelCredits,
+    ServiceLevels,
+    find_service_levels,
+)
+from stoattray_core.steering.servers import ServerRow
+
+REPORTING_MILLIS = 1_000
+"""A cut-off is reported until it has been open for this time. Others then know that it
+is open, rather than not knowing it."""
+
+
+class ContentionSettings(NamedTuple):
+    """Settings of contention.
+
+    Parameters
+    ----------
+    queue_places : int
+        Requests that wait at a backend server before it refuses further ones.
+    """
+
+    queue_places: int = 8
+
+
+class Contender(NamedTuple):
+    """Opening that competes for the servers of a service.
+
+    Parameters
+    ----------
+    server : ServerRow
+        Best server for the flow.
+    route : Route
+        Route of the flow.
+    """
+
+    server: ServerRow
+    route: Route
+
+
+class Refusal(NamedTuple):
+    """Why the cut-off refuses an opening.
+
+    Parameters
+    ----------
+    level : int
+        Priority level of the opening.
+    cut_off : CutOff
+        Cut-off in force.
+    n_peers : int
+        Number of other balancers that agreed on it; 0 if it is this balancer's own.
+    age : Millis or None
+        Time since this balancer measured; None if it never did.
+    """
+
+    level: int
+    cut_off: CutOff
+    n_peers: int
+    age: Millis | None
+
+    def event_fields(self) -> dict[str, str | int | float | None]:
+        """Return the fields of a log line."""
+        return {
+            "level": self.level,
+            "cut_off": f"{self.cut_off.level}:{self.cut_off.share:.2f}",
+            "cut_off_from": f"{self.n_peers}_peers" if self.n_peers else "own",
+            "cut_off_age_ms": self.age,
+        }
+
+
+class _Service:
+    """State of one service."""
+
+    def __init__(self, levels: ServiceLevels, now: Millis) -> None:
+        self.cut_off = ServiceCutOff(levels, now)
+        self.credits = LowerLevelCredits()
+        self.closed_at: Millis | None = None
+
+
+class Contention:
+    """Decides which openings are refused in contention, by priority level.
+
+    Parameters
+    ----------
+    settings : ContentionSettings
+        Settings.
+    configuration : callable
+        Returns the configuration in force, or None before the first.
+    counters : Counter
+        Counts openings by level and outcome.
+    random : Random
+        Draws the openings to refuse.
+    """
+
+    def __init__(
+        self,
+        settings: ContentionSettings,
+        *,
+        configuration: Callable[[], Configuration | None],
+        counters: Counter[str],
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._configuration = configuration
+        self._counters = counters
+        self._random = random
+        self._known_configuration: Configuration | None = None
+        self._levels: dict[str, ServiceLevels] = {}
+        self._services: dict[str, _Service] = {}
+        self._peer_cut_offs = PeerCutOffs()
+
+    def applies(self, service: str) -> bool:
+        """Return whether the routes of a service have at least two priorities."""
+        return service in self._current_levels()
+
+    def note_response(
+        self, service: str, destination: bytes, waited_millis: Millis, now: Millis
+    ) -> None:
+        """Note a response, `waited_millis` after its request."""
+        levels = self._current_levels().get(service)
+        if levels is None or self._known_configuration is None:
+            return
+        route = self._known_configuration.routes.get(destination)
+        target = levels.target_millis(route.priority) if route is not None else None
+        if route is not None and target:
+            cut_off = self._service(service, now).cut_off
+            cut_off.note_response(route.priority, waited_millis / target, now)
+
+    def note_offered(self, contender: Contender, now: Millis) -> None:
+        """Note an opening before it is decided, and adapt the cut-off."""
+        server = contender.server
+        service = server.entry.service
+        cut_off = self._service(service, now).cut_off
+        n_queued = server.n_certain_requests + 1 - server.capacity(now)
+        cut_off.note_queue(n_queued / self._settings.queue_places, now)
+        self._update(service, now)
+        self._count(contender.route, "offered")
+
+    def check(self, contender: Contender, now: Millis) -> Refusal | None:
+        """Return why the cut-off refuses an opening, or None if it is admitted."""
+        service = self._service(contender.server.entry.service, now)
+        level = contender.route.priority
+        cut_off = service.cut_off
+        share = cut_off.levels.admitted_share(cut_off.position, level)
+        if self._random.random() < share or service.credits.spend(level):
+            return None
+        return self.explain(contender, now)
+
+    def explain(self, contender: Contender, now: Millis) -> Refusal:
+        """Return the level of an opening and the cut-off in force."""
+        cut_off = self._service(contender.server.entry.service, now).cut_off
+        return Refusal(
+            contender.route.priority,
+            cut_off.cut_off,
+            cut_off.n_peers,
+            cut_off.age(now),
+        )
+
+    def note_admitted(self, contender: Contender, now: Millis) -> None:
+        """Note that an opening was admitted."""
+        service = self._service(contender.server.entry.service, now)
+        service.credits.note_admitted(service.cut_off.levels, contender.route.priority)
+        self._count(contender.route, "admitted")
+
+    def note_refused(self, contender: Contender, *, is_deferred: bool) -> None:
+        """Note that an opening was refused or deferred."""
+        self._count(contender.route, "deferred" if is_deferred else "refused")
+
+    def apply_reports(
+        self, name: str, reports: tuple[CutOffReport, ...], now: Millis
+    ) -> None:
+        """Apply the cut-offs in the heartbeat of another balancer."""
+        self._peer_cut_offs.apply(name, reports, now)
+
+    def reports(self, now: Millis) -> tuple[CutOffReport, ...]:
+        """Return the measured cut-offs for the next heartbeat; none in steady state."""
+        reports = []
+        for name in self._current_levels():
+            service = self._services.get(name)
+            if service is None:
+                continue
+            self._update(name, now)
+            age = service.cut_off.age(now)
+            closed_at = service.closed_at
+            if age is None or closed_at is None or now - closed_at > REPORTING_MILLIS:
+                continue
+            level, share = service.cut_off.cut_off
+            reports.append(CutOffReport(name, level, round(1_000 * share), age))
+        return tuple(reports)
+
+    def cut_offs(self) -> dict[str, CutOff]:
+        """Return the cut-offs in force that are not open, by service."""
+        return {
+            name: service.cut_off.cut_off
+            for name, service in self._services.items()
+            if not service.cut_off.is_open
+        }
+
+    def expire(self, now: Millis) -> None:
+        """Remove outdated state; runs about once a second."""
+        self._peer_cut_offs.expire(now)
+
+    def _update(self, name: str, now: Millis) -> None:
+        service = self._service(name, now)
+        levels = service.cut_off.levels
+        peers = self._peer_cut_offs.valid(name, now)
+        positions = [levels.position(cut_off) for cut_off in peers]
+        service.cut_off.update(positions, now)
+        if not all(map(levels.is_open, [service.cut_off.position, *positions])):
+            service.closed_at = now
+
+    def _service(self, name: str, now: Millis) -> _Service:
+        levels = self._current_levels()[name]
+        service = self._services.get(name)
+        if service is None or service.cut_off.levels.levels != levels.levels:
+            service = self._services[name] = _Service(levels, now)
+        service.cut_off.levels = levels
+        return service
+
+    def _current_levels(self) -> dict[str, ServiceLevels]:
+        configuration = self._configuration()
+        if configuration is not self._known_configuration:
+            self._known_configuration = configuration
+            self._levels = find_service_levels(configuration) if configuration else {}
+            for name in [name for name in self._services if name not in self._levels]:
+                del self._services[name]
+        return self._levels
+
+    def _count(self, route: Route, outcome: str) -> None:
+        self._counters[f"level_{route.priority}_{outcome}"] += 1
--- a/packages/stoattray-core/src/stoattray_core/steering/entries.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/entries.py
@@ -33,6 +33,8 @@
         Time after which a caller no longer waits; None if operators set none.
     has_priority : bool
         Whether another route of its service has a lower priority.
+    priority : int
+        Priority level as configured; 0 is the highest.
     """
 
     name: str
@@ -42,6 +44,7 @@
     target_latency_millis: Millis | None = None
     has_priority: bool = False
     timeout_millis: Millis | None = None
+    priority: int = 0
 
 
 class Configuration(NamedTuple):
--- a/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.replica import Version
 
@@ -40,6 +41,8 @@
         confirmed that reader's replica.
     era : int
         Era of the store that the revision belongs to.
+    cut_offs : tuple of CutOffReport
+        Cut-offs between priority levels that it measured, of services in contention.
     """
 
     member: MemberEntry
@@ -53,6 +56,7 @@
     failing_cookies: tuple[int, ...] = ()
     first_reader: tuple[str, Millis] | None = None
     era: int = 0
+    cut_offs: tuple[CutOffReport, ...] = ()
 
     @property
     def version(self) -> Version:
--- a/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
@@ -71,7 +71,9 @@
             service, waited_millis, now, queueing_factor=flow.queueing_factor
         )
         if not is_fast:
-            self._admission.note_response(service, waited_millis, now)
+            self._admission.note_response(
+                service, waited_millis, now, destination=flow.destination
+            )
         is_new = self._failure_detector.note_response(
             server,
             now,
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -19,6 +19,8 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.admission import AdmissionControl, Overload
 from stoattray_core.steering.cluster_state import ClusterState
+from stoattray_core.steering.contention import Contention, ContentionSettings
+from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import Configuration, MemberEntry
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
 from stoattray_core.steering.flow_placement import FlowPlacement
@@ -84,6 +86,8 @@
         Breaks ties.
     on_event : EventSink
         Receives events.
+    contention : ContentionSettings or None
+        Switches the order of refusal by priority levels on; None if it is off.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         flow_life_millis: Millis,
         random: Random,
         on_event: EventSink,
+        contention: ContentionSettings | None = None,
     ) -> None:
         self.members = MemberTable(own, random)
         self.servers = ServerTable(flow_life_millis, own.data_centre)
@@ -107,7 +112,13 @@
         self._silence_detector = SilenceDetector(own.data_centre)
         self._flows = FlowTable()
         self._failure_detector = FastFailureDetector()
-        self._admission = AdmissionControl(random)
+        self._contention = contention and Contention(
+            contention,
+            configuration=lambda: self.configuration,
+            counters=self.counters,
+            random=random,
+        )
+        self._admission = AdmissionControl(random, self._contention)
         self._response_monitor = ResponseMonitor(
             self.servers,
             self._flows,
@@ -187,6 +198,10 @@
             if row.n_pending_requests > 0
         }
 
+    def cut_off_reports(self, now: Millis) -> tuple[CutOffReport, ...]:
+        """Return the cut-offs between priority levels to report to other balancers."""
+        return self._contention.reports(now) if self._contention is not None else ()
+
     def exclude_backlog(self, now: Millis) -> None:
         """Exclude packets queued before the start from silence detection."""
         self._detect_silence_from = now + BACKLOG_MILLIS
@@ -200,6 +215,10 @@
         """Apply a heartbeat; return whether its sender is new or had been silent."""
         was_silent = self.members.receive_heartbeat(heartbeat, now)
         self._peer_reports.apply(heartbeat, now)
+        if self._contention is not None:
+            self._contention.apply_reports(
+                heartbeat.member.name, heartbeat.cut_offs, now
+            )
         if heartbeat.recovery_age is not None:
             self.store_health.note_peer_recovery(heartbeat.recovery_age, now)
         # Two empty replicas (revision 0) must not confirm each other.
@@ -270,6 +289,8 @@
             self._on_event("member_silent", member=name)
         self.servers.expire(now)
         self._response_monitor.expire_verdicts(now)
+        if self._contention is not None:
+            self._contention.expire(now)
         self._peer_reports.retain(row.entry.name for row in self.members.live(now))
         idle = self.configuration.idle_timeout_millis if self.configuration else 0
         self._flows.expire(
@@ -381,6 +402,7 @@
             response_ms=round(overload.response_millis),
             probability=round(overload.probability, 2),
             is_deferred=overload.is_deferred,
+            **(overload.refusal.event_fields() if overload.refusal else {}),
         )
 
     def _establish(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -23,10 +23,13 @@
 )
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.replica import Difference, Record, Version
 from tests.steering_builders import heartbeat, member_entry
 
+N_FIELDS_BEFORE_CUT_OFFS = 12
+
 ANY_VALUE = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.text() | st.binary(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
@@ -45,9 +48,26 @@
             live_members=(member_entry("edge-3"),),
             failing_cookies=(7, 4_000_000_001),
             first_reader=("edge-1", 300),
+            cut_offs=(CutOffReport("lookup", 2, 250, 40),),
         )
         self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
 
+    def test_heartbeat_without_cut_offs_is_that_of_an_older_release(self):
+        row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
+        self.assertEqual(len(row), N_FIELDS_BEFORE_CUT_OFFS)
+
+    def test_cut_offs_take_few_bytes(self):
+        sent = heartbeat(cut_offs=(CutOffReport("partida", 2, 1_000, 1_000),))
+        n_bytes = len(encode_heartbeat(sent)) - len(encode_heartbeat(heartbeat()))
+        self.assertLessEqual(n_bytes, 20)
+
+    def test_malformed_cut_offs_are_refused(self):
+        row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
+        for cut_off in (["lookup"], [5, 1, 1, 1], ["lookup", -1, 1, 1], 7):
+            with self.subTest(cut_off):
+                refused = decode_heartbeat(msgpack.packb([*row, [cut_off]]))
+                self.assertEqual(refused.kind, ErrorKind.MESSAGE_MALFORMED)
+
     def test_difference(self):
         sent = Difference(7, [Record("a", 7, b"x"), Record("b", 6, None)], True)
         data = encode_difference(heartbeat(), sent, may_compress=False)
@@ -83,8 +103,9 @@
         self.assertEqual(decode_sync_request(data), request)
 
     def test_field_of_a_later_version_is_ignored(self):
-        row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
-        self.assertEqual(decode_heartbeat(msgpack.packb([*row, "new"])), heartbeat())
+        sent = heartbeat(cut_offs=(CutOffReport("lookup", 2, 250, 40),))
+        row = msgpack.unpackb(encode_heartbeat(sent), strict_map_key=False)
+        self.assertEqual(decode_heartbeat(msgpack.packb([*row, "new"])), sent)
 
     def test_other_format_version_is_refused(self):
         row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
--- a/tests/balancer/steering/test_settings.py
+++ b/tests/balancer/steering/test_settings.py
@@ -55,6 +55,12 @@
         )
         self.assertEqual(settings.advertised_host, "10.9.0.1")
 
+    def test_contention_is_off_unless_set(self):
+        self.assertIsNone(self.load(json.dumps(VALID_SETTINGS)).contention)
+        for values, queue_places in (({}, 8), ({"queue_places": 5}, 5)):
+            settings = self.load(json.dumps({**VALID_SETTINGS, "contention": values}))
+            self.assertEqual(settings.contention.queue_places, queue_places)
+
     def test_error_of_an_invalid_value_names_the_setting(self):
         changes = (
             {"peer_port": 0},
@@ -67,6 +73,10 @@
             {"member": 7},
             {"flow_life_seconds": 0},
             {"log_level": "debug"},
+            {"contention": True},
+            {"contention": {"queue_places": 0}},
+            {"contention": {"queue_places": "8"}},
+            {"contention": {"queue_place": 8}},
         )
         for change in changes:
             with self.subTest(change), self.assertRaises(StoattrayError) as caught:
--- /dev/null
+++ b/tests/core/steering/test_contention.py
@@ -0,0 +1,155 @@
+"""Order of refusal between priority levels at one balancer's admission control."""
+
+import unittest
+from collections import Counter
+from random import Random
+
+from stoattray_core.steering.admission import AdmissionControl
+from stoattray_core.steering.contention import Contention, ContentionSettings
+from stoattray_core.steering.cut_offs import CutOffReport
+from tests.core.steering.test_priority_levels import route
+from tests.steering_builders import START_MILLIS, configuration, server_row
+
+TARGET_MILLIS = 600
+SERVICE_MILLIS = 22.0
+
+
+class ContentionTest(unittest.TestCase):
+    """One server with two slots and a queue of eight, and two levels."""
+
+    def setUp(self):
+        self.now = START_MILLIS
+        self.routes = {
+            level: route(
+                level,
+                port=level + 1,
+                target_latency_millis=TARGET_MILLIS,
+                timeout_millis=TARGET_MILLIS,
+                has_priority=level == 1,
+            )
+            for level in (1, 2)
+        }
+        self.configuration = configuration(
+            routes={item.destination: item for item in self.routes.values()}
+        )
+        self.counters = Counter()
+        self.contention = Contention(
+            ContentionSettings(),
+            configuration=lambda: self.configuration,
+            counters=self.counters,
+            random=Random(1),
+        )
+        self.admission = AdmissionControl(Random(1), self.contention)
+        self.server = server_row()
+
+    def check(self, level):
+        return self.admission.check(
+            self.server, self.routes[level], SERVICE_MILLIS, self.now
+        )
+
+    def offer(self, millis, *, n_pending):
+        """Offer an opening of each level every 10 ms; return the refused ones."""
+        self.server.n_pending_requests = n_pending
+        refused = []
+        for _ in range(millis // 10):
+            self.now += 10
+            refused += [level for level in (1, 2) if self.check(level) is not None]
+        return refused
+
+    def test_lower_level_is_refused_before_the_higher(self):
+        """Guards against moves that are refused while board streams are admitted."""
+        refused = self.offer(500, n_pending=8)
+        self.assertGreater(len(refused), 5)
+        self.assertEqual(set(refused), {2})
+
+    def test_lower_level_is_not_starved(self):
+        self.offer(2_000, n_pending=9)
+        refused = Counter(self.offer(4_000, n_pending=9))
+        self.assertLess(refused[2], 400)
+        self.assertGreater(refused[2], 360)
+
+    def test_nothing_is_refused_without_a_queue(self):
+        self.offer(2_000, n_pending=9)
+        self.assertEqual(self.offer(200, n_pending=3), [])
+
+    def test_everything_is_admitted_a_second_after_servers_became_free(self):
+        """Guards against a cut-off that outlives the load that caused it."""
+        self.offer(3_000, n_pending=12)
+        self.offer(1_000, n_pending=0)
+        self.assertEqual(self.offer(100, n_pending=4), [])
+
+    def test_service_with_one_priority_is_served_as_before(self):
+        routes = [item._replace(priority=1) for item in self.routes.values()]
+        self.configuration = configuration(
+            routes={item.destination: item for item in routes}
+        )
+        self.assertFalse(self.contention.applies("lookup"))
+        self.offer(2_000, n_pending=9)
+        self.assertEqual(self.counters, {})
+
+    def test_refusal_names_level_and_cut_off(self):
+        self.offer(1_000, n_pending=9)
+        fields = next(
+            overload.refusal.event_fields()
+            for _ in range(100)
+            if (overload := self.check(2)) is not None
+        )
+        self.assertEqual(fields["level"], 2)
+        self.assertRegex(fields["cut_off"], r"^[12]:[01]\.\d\d$")
+        self.assertEqual(fields["cut_off_from"], "own")
+        self.assertEqual(fields["cut_off_age_ms"], 0)
+
+    def test_counters_by_level(self):
+        refused = Counter(self.offer(1_000, n_pending=9))
+        for level in (1, 2):
+            offered = self.counters[f"level_{level}_offered"]
+            self.assertEqual(offered, 100)
+            self.assertEqual(
+                self.counters[f"level_{level}_admitted"], offered - refused[level]
+            )
+            self.assertEqual(self.counters[f"level_{level}_refused"], refused[level])
+
+    def test_nothing_is_reported_without_contention(self):
+        """Guards against larger heartbeats in steady operation."""
+        self.offer(1_000, n_pending=2)
+        self.assertEqual(self.contention.reports(self.now), ())
+
+    def test_cut_off_is_reported_until_it_was_open_for_a_second(self):
+        self.offer(1_000, n_pending=9)
+        report = self.contention.reports(self.now)[0]
+        self.assertEqual(report.service, "lookup")
+        self.assertLessEqual(report.age, 10)
+        self.offer(1_500, n_pending=0)
+        self.assertEqual(self.contention.reports(self.now)[0].share_permille, 1_000)
+        self.offer(1_500, n_pending=0)
+        self.assertEqual(self.contention.reports(self.now), ())
+
+    def test_open_reports_of_others_do_not_prolong_each_other(self):
+        """Guards against open cut-offs that balancers report to each other forever."""
+        self.offer(100, n_pending=2)
+        for _ in range(20):
+            self.contention.apply_reports(
+                "edge-2", (CutOffReport("lookup", 2, 1_000, 0),), self.now
+            )
+            self.offer(200, n_pending=2)
+        self.assertEqual(self.contention.reports(self.now), ())
+
+    def test_cut_off_of_others_applies_here(self):
+        """Guards against a level that one balancer refuses and another admits."""
+        for _ in range(10):
+            self.contention.apply_reports(
+                "edge-2", (CutOffReport("lookup", 1, 1_000, 0),), self.now
+            )
+            refused = Counter(self.offer(100, n_pending=5))
+        self.assertGreater(refused[2], 5)
+        self.assertEqual(refused[1], 0)
+
+    def test_changed_levels_start_open(self):
+        """Guards against a cut-off of a level that is no longer configured."""
+        self.offer(2_000, n_pending=9)
+        self.routes[2] = self.routes[2]._replace(priority=5)
+        self.configuration = configuration(
+            routes={item.destination: item for item in self.routes.values()}
+        )
+        self.offer(10, n_pending=5)
+        self.assertEqual(self.contention.cut_offs(), {})
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -383,6 +383,7 @@
         self.data_centre = data_centre
         self.started_at = started_at
         self.n_tries = 0
+        self.packet_fields: dict[str, object] = {}
 
 
 class _Flow:
@@ -428,7 +429,11 @@
 
     def _deliver_opening(self, n_retransmissions: int) -> None:
         """Route the opening packet at the balancer and forward it."""
-        packet = opening(self.port, n_retransmissions=n_retransmissions)
+        packet = opening(
+            self.port,
+            n_retransmissions=n_retransmissions,
+            **self.request.packet_fields,
+        )
         server = self.balancer.steering.route_packet(packet, self.fleet.now)
         if isinstance(server, Refused):
             self.fleet.refusals[server.kind] += 1
@@ -476,7 +481,8 @@
         self._end(is_served=is_served)
 
     def _send_following(self, cookie: int, **changes: object) -> None:
-        packet = following(self.port, cookie, **changes)
+        fields = {**self.request.packet_fields, **changes}
+        packet = following(self.port, cookie, **fields)
         delay = self.fleet.processing_delays.get(self.balancer.own.name, 0)
         self.fleet.schedule(
             delay,
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.contention import ContentionSettings
 from stoattray_core.steering.entries import (
     BackendServerEntry,
     Configuration,
@@ -142,6 +143,8 @@
         Seed of its random choices.
     decoder : EntryDecoder or None
         Decoder of the store's records; a new one by default.
+    contention : ContentionSettings or None
+        Switches the order of refusal by priority levels on.
     """
 
     def __init__(
@@ -150,6 +153,7 @@
         data_centre: str = "luzon-a",
         seed: float = 1,
         decoder: EntryDecoder | None = None,
+        contention: ContentionSettings | None = None,
     ) -> None:
         self.now = START_MILLIS
         self.recorder = EventRecorder()
@@ -161,12 +165,20 @@
             flow_life_millis=FLOW_LIFE_MILLIS,
             random=Random(seed),
             on_event=self.recorder,
+            contention=contention,
         )
+        self.contention = contention
         self._revision = 0
 
     def restarted(self, seed: float) -> "Balancer":
         """Return a new process of this balancer that has read the same store."""
-        balancer = Balancer(self.own.name, self.own.data_centre, seed, self.decoder)
+        balancer = Balancer(
+            self.own.name,
+            self.own.data_centre,
+            seed,
+            self.decoder,
+            self.contention,
+        )
         balancer.now = self.now
         balancer._revision = self._revision
         balancer.steering.store_health.note_response(self.now)
