--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -114,9 +114,18 @@
         """Return whether the routes of a service have at least two priorities."""
 
     def note_response(
-        self, service: str, destination: bytes, waited_millis: Millis, now: Millis
+        self,
+        service: str,
+        destination: bytes,
+        waited_millis: Millis,
+        now: Millis,
+        *,
+        is_refused: bool,
     ) -> None:
-        """Note a response, `waited_millis` after its request."""
+        """Note a response; `is_refused` if its server refused it for its queue."""
+
+    def has_queue(self, contender: Contender, now: Millis) -> bool:
+        """Return whether the best server for an opening has a queue."""
 
     def note_offered(self, contender: Contender, now: Millis) -> None:
         """Note an opening before it is decided."""
@@ -219,11 +228,32 @@
         now: Millis,
         *,
         destination: bytes = b"",
+        is_fast: bool = False,
+        is_refused: bool = False,
     ) -> None:
-        """Note a response of a service, `waited_millis` after its request."""
-        self._response_time(service).add(waited_millis, now)
+        """Note a response of a service.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        waited_millis : Millis
+            Time from the request to its response.
+        now : Millis
+            Current time.
+        destination : bytes
+            Destination of the flow.
+        is_fast : bool
+            Whether the response came too fast for a request that was served.
+        is_refused : bool
+            Whether it did so at a server with a queue, which most likely refused it.
+        """
+        if not is_fast:
+            self._response_time(service).add(waited_millis, now)
         if self._order is not None:
-            self._order.note_response(service, destination, waited_millis, now)
+            self._order.note_response(
+                service, destination, waited_millis, now, is_refused=is_refused
+            )
 
     def check(
         self,
@@ -321,7 +351,7 @@
                 MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
             )
             return _check_queue(server, target, max_per_slot, now)
-        if not _has_queue(server, now):
+        if not order.has_queue(contender, now):
             return None
         expected = _expected_millis(server, service_time, now)
         ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
--- a/packages/stoattray-core/src/stoattray_core/steering/contention.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/contention.py
@@ -25,6 +25,11 @@
 )
 from stoattray_core.steering.servers import ServerRow
 
+MAX_UNREFUSED_PER_SLOT = 2.0
+MAX_LOWER_UNREFUSED_PER_SLOT = 1.0
+"""Requests per slot of the best server, the new one included, up to which nothing is
+refused. The second applies to all levels but the highest: up to it a slot is free."""
+
 REPORTING_MILLIS = 1_000
 """A cut-off is reported until it has been open for this time. Others then know that it
 is open, rather than not knowing it."""
@@ -133,18 +138,48 @@
         return service in self._current_levels()
 
     def note_response(
-        self, service: str, destination: bytes, waited_millis: Millis, now: Millis
+        self,
+        service: str,
+        destination: bytes,
+        waited_millis: Millis,
+        now: Millis,
+        *,
+        is_refused: bool,
     ) -> None:
-        """Note a response, `waited_millis` after its request."""
+        """Note a response; `is_refused` if its server refused it for its queue."""
         levels = self._current_levels().get(service)
         if levels is None or self._known_configuration is None:
             return
+        self._service(service, now).cut_off.note_served(is_refused=is_refused, now=now)
+        if is_refused:
+            return
         route = self._known_configuration.routes.get(destination)
         target = levels.target_millis(route.priority) if route is not None else None
         if route is not None and target:
             cut_off = self._service(service, now).cut_off
             cut_off.note_response(route.priority, waited_millis / target, now)
 
+    def has_queue(self, contender: Contender, now: Millis) -> bool:
+        """Return whether the best server for an opening has a queue.
+
+        Reports are old, so a server that looks busy may be idle, and only the highest
+        level gets the benefit of the doubt. While servers refuse requests even though
+        only the highest level is admitted, one that looks idle is not, and the average
+        of the reports counts as well.
+        """
+        server, route = contender
+        cut_off = self._service(server.entry.service, now).cut_off
+        n_peer_requests = float(server.n_peer_requests)
+        if route.priority == cut_off.levels.levels[0]:
+            max_per_slot = MAX_UNREFUSED_PER_SLOT
+        else:
+            max_per_slot = MAX_LOWER_UNREFUSED_PER_SLOT
+            is_highest_only = cut_off.levels.is_highest_only(cut_off.position)
+            if is_highest_only and cut_off.is_refused_by_servers(now):
+                n_peer_requests = max(n_peer_requests, server.peer_load)
+        n_requests = server.n_pending_requests + n_peer_requests + 1
+        return n_requests > max_per_slot * server.capacity(now)
+
     def note_offered(self, contender: Contender, now: Millis) -> None:
         """Note an opening before it is decided, and adapt the cut-off."""
         server = contender.server
--- a/packages/stoattray-core/src/stoattray_core/steering/cut_offs.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cut_offs.py
@@ -2,10 +2,11 @@
 
 Each balancer adapts a position (see `priority_levels`) for each service by
 proportional-integral control, as admission control does with its probability. What it
-controls is the pressure on the servers: the response times of the highest levels in
-multiples of their target latency, or the used share of the queue of the best server,
-whichever is higher. Where queues are short, servers refuse requests long before
-responses are late.
+controls is the pressure on the servers, the highest of three: the response times of the
+highest levels in multiples of their target latency, the used share of the queue of the
+best server, and the share of requests that servers refuse. Where queues are short,
+servers refuse requests long before responses are late, and queues change faster than
+balancers report them.
 
 Balancers send each other the positions that they measured. Each moves its own towards
 the mean of the others', so that all of them apply nearly the same cut-off and the order
@@ -32,10 +33,11 @@
 """Pressure that the controller aims at. The second applies while openings of the
 highest level are refused, which happens only once refusing all others is not enough."""
 
-DEVIATION_GAIN = 0.15
+DEVIATION_GAIN = 0.3
 TREND_GAIN = 0.6
 """Change of the position in each interval per unit of pressure above the reference, and
-per unit that it grew by; the gains of admission control (docs/design/0005)."""
+per unit that queue and response times grew by. The share of refused requests is too
+noisy for a trend. Trials: docs/design/0010."""
 
 INTERVAL_MILLIS = 50
 MAX_INTERVALS = 4
@@ -49,6 +51,14 @@
 """Time constant of the means of pressure; two or three openings of a balancer that gets
 10 to 30 a second."""
 
+REFUSED_SMOOTHING_MILLIS = 500
+"""Time constant of the share of requests that servers refuse, which is small."""
+
+MAX_REFUSED_SHARE = 0.02
+MAX_REFUSED_PRESSURE = 1.5
+"""Share of requests that servers may refuse; above it the cut-off closes. The second
+bounds the pressure, as one refused request among few is no measure."""
+
 MAX_SAMPLE_AGE_MILLIS = 200
 """Samples older than this say nothing about the present pressure."""
 
@@ -81,9 +91,10 @@
 class _Mean:
     """Mean of recent samples; an outdated mean is replaced."""
 
-    __slots__ = ("sampled_at", "value")
+    __slots__ = ("_smoothing_millis", "sampled_at", "value")
 
-    def __init__(self) -> None:
+    def __init__(self, smoothing_millis: Millis = SMOOTHING_MILLIS) -> None:
+        self._smoothing_millis = smoothing_millis
         self.value = 0.0
         self.sampled_at: Millis | None = None
 
@@ -95,7 +106,7 @@
         weight = 1.0
         if self.sampled_at is not None and self.is_recent(now):
             elapsed = max(1, now - self.sampled_at)
-            weight -= math.exp(-elapsed / SMOOTHING_MILLIS)
+            weight -= math.exp(-elapsed / self._smoothing_millis)
         self.value += (sample - self.value) * weight
         self.sampled_at = now
 
@@ -127,7 +138,8 @@
         self.measured_at: Millis | None = None
         self._queue = _Mean()
         self._responses: dict[int, _Mean] = {}
-        self._previous_pressure = 0.0
+        self._refused_share = _Mean(REFUSED_SMOOTHING_MILLIS)
+        self._previous_delay = 0.0
         self._updated_at = now
 
     @property
@@ -149,6 +161,15 @@
         self._responses.setdefault(level, _Mean()).add(ratio, now)
         self.measured_at = now
 
+    def note_served(self, *, is_refused: bool, now: Millis) -> None:
+        """Note whether a server refused a request, as a fast response shows."""
+        self._refused_share.add(float(is_refused), now)
+        self.measured_at = now
+
+    def is_refused_by_servers(self, now: Millis) -> bool:
+        """Return whether servers refuse more requests than they may."""
+        return self._refused_pressure(now) > REFERENCE
+
     def note_queue(self, used_share: float, now: Millis) -> None:
         """Note the used share of the best server's queue; negative if a slot is free.
 
@@ -173,21 +194,23 @@
         self._updated_at = now
         self.n_peers = len(peer_positions)
         n_intervals = min(MAX_INTERVALS, elapsed / INTERVAL_MILLIS)
-        pressure = self._pressure(now)
-        if pressure is None:
+        delay, refused = self._delay_pressure(now), self._refused_pressure(now)
+        pressure = max(delay or 0.0, refused)
+        if delay is None:
             self._follow(peer_positions, elapsed)
-        elif self._queue.is_recent(now) and self._queue.value <= 0.0:
+        elif pressure < REFERENCE and self._has_free_slot(now):
             self._open_up(elapsed)
         else:
-            self._control(pressure, n_intervals)
-        if pressure is not None and peer_positions:
+            trend = delay - self._previous_delay
+            self._control(pressure, trend, n_intervals)
+        if delay is not None and peer_positions:
             pull = 1.0 - (1.0 - PULL) ** n_intervals
             self.position += (fmean(peer_positions) - self.position) * pull
-        self._previous_pressure = pressure or 0.0
+        self._previous_delay = delay or 0.0
         self.position = max(MIN_POSITION, min(self.levels.open_position, self.position))
 
-    def _pressure(self, now: Millis) -> float | None:
-        """Return the pressure; None without recent samples.
+    def _delay_pressure(self, now: Millis) -> float | None:
+        """Return the pressure by queue and response times; None if not sampled lately.
 
         Response times are those of the highest level that has recent ones.
         """
@@ -201,10 +224,19 @@
                 break
         return max(pressures, default=None)
 
-    def _control(self, pressure: float, n_intervals: float) -> None:
+    def _refused_pressure(self, now: Millis) -> float:
+        """Return the pressure by the requests that servers refuse."""
+        if not self._refused_share.is_recent(now):
+            return 0.0
+        pressure = REFERENCE * self._refused_share.value / MAX_REFUSED_SHARE
+        return min(MAX_REFUSED_PRESSURE, pressure)
+
+    def _has_free_slot(self, now: Millis) -> bool:
+        return self._queue.is_recent(now) and self._queue.value <= 0.0
+
+    def _control(self, pressure: float, trend: float, n_intervals: float) -> None:
         is_highest_only = self.levels.is_highest_only(self.position)
         deviation = pressure - (HIGHEST_REFERENCE if is_highest_only else REFERENCE)
-        trend = pressure - self._previous_pressure
         change = DEVIATION_GAIN * deviation + TREND_GAIN * trend
         if deviation < 0.0:
             change = min(0.0, change)
--- a/packages/stoattray-core/src/stoattray_core/steering/priority_levels.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/priority_levels.py
@@ -12,15 +12,16 @@
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import Configuration, Route
 
-BAND_GAP = 0.25
+BAND_GAP = 0.3
 """Positions between the bands of two levels. Larger gaps delay a change of level."""
 
 MIN_POSITION = 0.05
 """Some openings of the highest level are always admitted, as only their responses show
 a lower load."""
 
-OPEN_MARGIN = 0.02
-"""Distance to the open position from which a cut-off counts as open."""
+OPEN_MARGIN = 0.15
+"""Distance to the open position from which a cut-off counts as open, so that noise in a
+balancer's few samples refuses nothing."""
 
 LOWER_LEVELS_SHARE = 0.05
 """Openings of levels below the cut-off that are admitted nevertheless, over all of
@@ -82,6 +83,8 @@
 
         A level that is not known counts as the lowest.
         """
+        if self.is_open(position):
+            return 1.0
         return max(0.0, min(1.0, position - _band_start(self._index(level))))
 
     def is_open(self, position: float) -> bool:
--- a/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
@@ -70,10 +70,14 @@
         self._service_times.note_response(
             service, waited_millis, now, queueing_factor=flow.queueing_factor
         )
-        if not is_fast:
-            self._admission.note_response(
-                service, waited_millis, now, destination=flow.destination
-            )
+        self._admission.note_response(
+            service,
+            waited_millis,
+            now,
+            destination=flow.destination,
+            is_fast=is_fast,
+            is_refused=is_fast and flow.queueing_factor > 1.0,
+        )
         is_new = self._failure_detector.note_response(
             server,
             now,
--- a/tests/core/steering/test_priority_levels.py
+++ b/tests/core/steering/test_priority_levels.py
@@ -9,6 +9,7 @@
 from stoattray_core.steering.priority_levels import (
     BAND_GAP,
     LOWER_LEVELS_SHARE,
+    OPEN_MARGIN,
     CutOff,
     LowerLevelCredits,
     ServiceLevels,
@@ -62,6 +63,7 @@
             self.assertAlmostEqual(
                 self.levels.admitted_share(received, level),
                 self.levels.admitted_share(position, level),
+                delta=OPEN_MARGIN,
             )
 
     def test_cut_off_of_another_configuration_admits_the_higher_levels(self):
