core: defer openings that can wait; fair shares of a level by caller address

Cause: callers whose openings are reset use up their retries within 20 ms, also where capacity becomes free 200 ms later; and one address that opens as much as all others together got as large a share of its openings as they did. Change: a refused opening of a lower level is dropped if its response to the next transmission can be in time and the cut-off, at its present trend, then admits a quarter of its level; otherwise it is reset at once. A deferred opening that is refused later is reset, too, but only if this balancer dropped every earlier transmission: the flow is then open nowhere. While a level is admitted in part, addresses share it max-min fairly; 256 addresses are counted, and none outside contention.

--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -22,11 +22,15 @@
 
 import math
 from random import Random
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
-from stoattray_core.steering.contention import Contender, Refusal
 from stoattray_core.steering.entries import Route
+from stoattray_core.steering.priority_order import (
+    Contender,
+    PriorityOrder,
+    Refusal,
+)
 from stoattray_core.steering.servers import ServerRow
 
 MAX_LATENCY_RATIO = 1.0
@@ -107,42 +111,6 @@
     refusal: Refusal | None = None
 
 
-class PriorityOrder(Protocol):
-    """Order of refusal between the priority levels of a service."""
-
-    def applies(self, service: str) -> bool:
-        """Return whether the routes of a service have at least two priorities."""
-
-    def note_response(
-        self,
-        service: str,
-        destination: bytes,
-        waited_millis: Millis,
-        now: Millis,
-        *,
-        is_refused: bool,
-    ) -> None:
-        """Note a response; `is_refused` if its server refused it for its queue."""
-
-    def has_queue(self, contender: Contender, now: Millis) -> bool:
-        """Return whether the best server for an opening has a queue."""
-
-    def note_offered(self, contender: Contender, now: Millis) -> None:
-        """Note an opening before it is decided."""
-
-    def check(self, contender: Contender, now: Millis) -> Refusal | None:
-        """Return why an opening is refused, or None if it is admitted."""
-
-    def explain(self, contender: Contender, now: Millis) -> Refusal:
-        """Return the level of an opening and the cut-off in force."""
-
-    def note_admitted(self, contender: Contender, now: Millis) -> None:
-        """Note that an opening was admitted."""
-
-    def note_refused(self, contender: Contender, *, is_deferred: bool) -> None:
-        """Note that an opening was refused or deferred."""
-
-
 class _ResponseTime:
     """Mean of a service's recent response times."""
 
@@ -263,6 +231,8 @@
         now: Millis,
         *,
         is_retransmission: bool = False,
+        n_retransmissions: int = 0,
+        caller: bytes = b"",
     ) -> Overload | None:
         """Return why an opening has to be refused, or None if it is admitted.
 
@@ -278,12 +248,15 @@
             Current time.
         is_retransmission : bool
             Whether the caller has sent the opening before.
+        n_retransmissions : int
+            How often; only needed with priority levels.
+        caller : bytes
+            Address of the caller; only needed with priority levels.
         """
         if self._order is not None and self._order.applies(server.entry.service):
             return self._check_levels(
                 self._order,
-                Contender(server, route),
-                service_time,
+                Contender(server, route, service_time, n_retransmissions, caller),
                 now,
                 is_retransmission=is_retransmission,
             )
@@ -319,7 +292,6 @@
         self,
         order: PriorityOrder,
         contender: Contender,
-        service_time: float | None,
         now: Millis,
         *,
         is_retransmission: bool,
@@ -327,7 +299,7 @@
         """Return why an opening of a service with priority levels is refused."""
         order.note_offered(contender, now)
         overload = self._find_level_overload(
-            order, contender, service_time, now, is_retransmission=is_retransmission
+            order, contender, now, is_retransmission=is_retransmission
         )
         if overload is None:
             order.note_admitted(contender, now)
@@ -339,12 +311,11 @@
         self,
         order: PriorityOrder,
         contender: Contender,
-        service_time: float | None,
         now: Millis,
         *,
         is_retransmission: bool,
     ) -> Overload | None:
-        server, route = contender
+        server, route = contender.server, contender.route
         target = route.target_latency_millis
         if target and now < self._recovering_until and _may_wait(route):
             max_per_slot = (
@@ -353,7 +324,7 @@
             return _check_queue(server, target, max_per_slot, now)
         if not order.has_queue(contender, now):
             return None
-        expected = _expected_millis(server, service_time, now)
+        expected = _expected_millis(server, contender.service_time, now)
         ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
         max_millis = ratio * target if target else math.inf
         refusal = order.check(contender, now)
@@ -367,6 +338,7 @@
             max_millis,
             self._response_time(server.entry.service).millis,
             0.0,
+            is_deferred=order.may_defer(contender, now),
             refusal=refusal,
         )
 
--- a/packages/stoattray-core/src/stoattray_core/steering/contention.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/contention.py
@@ -16,14 +16,19 @@
     PeerCutOffs,
     ServiceCutOff,
 )
+from stoattray_core.steering.deferral import (
+    MIN_FORECAST_SHARE,
+    next_transmission_millis,
+)
 from stoattray_core.steering.entries import Configuration, Route
+from stoattray_core.steering.fair_shares import FairShares
 from stoattray_core.steering.priority_levels import (
     CutOff,
     LowerLevelCredits,
     ServiceLevels,
     find_service_levels,
 )
-from stoattray_core.steering.servers import ServerRow
+from stoattray_core.steering.priority_order import Contender, Refusal
 
 MAX_UNREFUSED_PER_SLOT = 2.0
 MAX_LOWER_UNREFUSED_PER_SLOT = 1.0
@@ -47,51 +52,6 @@
     queue_places: int = 8
 
 
-class Contender(NamedTuple):
-    """Opening that competes for the servers of a service.
-
-    Parameters
-    ----------
-    server : ServerRow
-        Best server for the flow.
-    route : Route
-        Route of the flow.
-    """
-
-    server: ServerRow
-    route: Route
-
-
-class Refusal(NamedTuple):
-    """Why the cut-off refuses an opening.
-
-    Parameters
-    ----------
-    level : int
-        Priority level of the opening.
-    cut_off : CutOff
-        Cut-off in force.
-    n_peers : int
-        Number of other balancers that agreed on it; 0 if it is this balancer's own.
-    age : Millis or None
-        Time since this balancer measured; None if it never did.
-    """
-
-    level: int
-    cut_off: CutOff
-    n_peers: int
-    age: Millis | None
-
-    def event_fields(self) -> dict[str, str | int | float | None]:
-        """Return the fields of a log line."""
-        return {
-            "level": self.level,
-            "cut_off": f"{self.cut_off.level}:{self.cut_off.share:.2f}",
-            "cut_off_from": f"{self.n_peers}_peers" if self.n_peers else "own",
-            "cut_off_age_ms": self.age,
-        }
-
-
 class _Service:
     """State of one service."""
 
@@ -99,6 +59,7 @@
         self.cut_off = ServiceCutOff(levels, now)
         self.credits = LowerLevelCredits()
         self.closed_at: Millis | None = None
+        self.fair_shares: dict[int, FairShares] = {}
 
 
 class Contention:
@@ -167,7 +128,7 @@
         only the highest level is admitted, one that looks idle is not, and the average
         of the reports counts as well.
         """
-        server, route = contender
+        server, route = contender.server, contender.route
         cut_off = self._service(server.entry.service, now).cut_off
         n_peer_requests = float(server.n_peer_requests)
         if route.priority == cut_off.levels.levels[0]:
@@ -188,6 +149,8 @@
         n_queued = server.n_certain_requests + 1 - server.capacity(now)
         cut_off.note_queue(n_queued / self._settings.queue_places, now)
         self._update(service, now)
+        if contender.caller and contender.n_retransmissions == 0:
+            self._count_caller(contender, now)
         self._count(contender.route, "offered")
 
     def check(self, contender: Contender, now: Millis) -> Refusal | None:
@@ -196,10 +159,27 @@
         level = contender.route.priority
         cut_off = service.cut_off
         share = cut_off.levels.admitted_share(cut_off.position, level)
+        fair_shares = service.fair_shares.get(level)
+        if fair_shares is not None and contender.caller:
+            share = fair_shares.admitted_share(contender.caller, share, now)
         if self._random.random() < share or service.credits.spend(level):
             return None
         return self.explain(contender, now)
 
+    def may_defer(self, contender: Contender, now: Millis) -> bool:
+        """Return whether a refused opening may wait for its next transmission."""
+        route = contender.route
+        cut_off = self._service(contender.server.entry.service, now).cut_off
+        if route.priority == cut_off.levels.levels[0]:
+            return False
+        wait = next_transmission_millis(
+            route, contender.n_retransmissions, contender.service_time
+        )
+        if wait is None:
+            return False
+        share = cut_off.forecast_share(route.priority, wait, now)
+        return share >= MIN_FORECAST_SHARE
+
     def explain(self, contender: Contender, now: Millis) -> Refusal:
         """Return the level of an opening and the cut-off in force."""
         cut_off = self._service(contender.server.entry.service, now).cut_off
@@ -251,8 +231,23 @@
         }
 
     def expire(self, now: Millis) -> None:
-        """Remove outdated state; runs about once a second."""
+        """Remove outdated state; runs about once a second.
+
+        Callers are counted from the beginning of contention to its end.
+        """
         self._peer_cut_offs.expire(now)
+        for service in self._services.values():
+            if service.cut_off.is_open:
+                service.fair_shares.clear()
+
+    def _count_caller(self, contender: Contender, now: Millis) -> None:
+        """Count an opening of a caller, unless its level is admitted whole."""
+        service = self._service(contender.server.entry.service, now)
+        level = contender.route.priority
+        cut_off = service.cut_off
+        if cut_off.levels.admitted_share(cut_off.position, level) < 1.0:
+            fair_shares = service.fair_shares.setdefault(level, FairShares(now))
+            fair_shares.note_offered(contender.caller, now)
 
     def _update(self, name: str, now: Millis) -> None:
         service = self._service(name, now)
--- a/packages/stoattray-core/src/stoattray_core/steering/cut_offs.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cut_offs.py
@@ -139,6 +139,7 @@
         self._queue = _Mean()
         self._responses: dict[int, _Mean] = {}
         self._refused_share = _Mean(REFUSED_SMOOTHING_MILLIS)
+        self._rate = _Mean()
         self._previous_delay = 0.0
         self._updated_at = now
 
@@ -192,6 +193,7 @@
         if elapsed < INTERVAL_MILLIS:
             return
         self._updated_at = now
+        before = self.position
         self.n_peers = len(peer_positions)
         n_intervals = min(MAX_INTERVALS, elapsed / INTERVAL_MILLIS)
         delay, refused = self._delay_pressure(now), self._refused_pressure(now)
@@ -207,7 +209,18 @@
             pull = 1.0 - (1.0 - PULL) ** n_intervals
             self.position += (fmean(peer_positions) - self.position) * pull
         self._previous_delay = delay or 0.0
-        self.position = max(MIN_POSITION, min(self.levels.open_position, self.position))
+        open_position = self.levels.open_position
+        self.position = max(MIN_POSITION, min(open_position, self.position))
+        self._rate.add((self.position - before) / elapsed, now)
+
+    def forecast_share(self, level: int, millis: Millis, now: Millis) -> float:
+        """Return the share of a level that is admitted in a time, at the present trend.
+
+        A cut-off that does not open is expected to stay as it is.
+        """
+        rate = self._rate.value if self._rate.is_recent(now) else 0.0
+        position = self.position + max(0.0, rate) * millis
+        return self.levels.admitted_share(position, level)
 
     def _delay_pressure(self, now: Millis) -> float | None:
         """Return the pressure by queue and response times; None if not sampled lately.
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -63,7 +63,8 @@
         now: Millis,
         avoid: list[ServerRow],
         *,
-        is_retransmission: bool = False,
+        n_retransmissions: int = 0,
+        caller: bytes = b"",
     ) -> ServerRow | Overload | Refused:
         """Return the server for a new flow, or why there is none.
 
@@ -75,8 +76,10 @@
             Current time.
         avoid : list of ServerRow
             Servers that left this flow unanswered.
-        is_retransmission : bool
-            Whether the caller has sent the opening before.
+        n_retransmissions : int
+            How often the caller has sent the opening before.
+        caller : bytes
+            Address of the caller.
         """
         assert self._cluster_state.configuration is not None
         route = self._cluster_state.configuration.routes.get(destination)
@@ -94,7 +97,9 @@
             route,
             self._service_time(service),
             now,
-            is_retransmission=is_retransmission,
+            is_retransmission=n_retransmissions > 0,
+            n_retransmissions=n_retransmissions,
+            caller=caller,
         )
         if overload is not None:
             name = "deferred" if overload.is_deferred else "overloaded"
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -21,6 +21,7 @@
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.contention import Contention, ContentionSettings
 from stoattray_core.steering.cut_offs import CutOffReport
+from stoattray_core.steering.deferral import DeferredOpenings
 from stoattray_core.steering.entries import Configuration, MemberEntry
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
 from stoattray_core.steering.flow_placement import FlowPlacement
@@ -63,6 +64,9 @@
 """Target latencies for which a request counts as pending. Admission control keeps
 responses faster, so an older one was most likely answered unseen."""
 
+CALLER_ADDRESS_BYTES = 4
+"""A flow's key begins with the caller's IPv4 address."""
+
 OVERLOADED = Refused(ErrorKind.OVERLOADED)
 DEFERRED = Refused(ErrorKind.DEFERRED)
 NOT_READY = Refused(ErrorKind.NOT_READY)
@@ -135,6 +139,7 @@
             random=random,
         )
         self._peer_reports = PeerReports(self.servers, self._failure_detector)
+        self._deferred = DeferredOpenings()
         self._last_tick_at: Millis | None = None
         self._detect_silence_from: Millis = 0
         self._drop_openings_until: Millis = 0
@@ -291,6 +296,7 @@
         self._response_monitor.expire_verdicts(now)
         if self._contention is not None:
             self._contention.expire(now)
+            self._deferred.expire(now)
         self._peer_reports.retain(row.entry.name for row in self.members.live(now))
         idle = self.configuration.idle_timeout_millis if self.configuration else 0
         self._flows.expire(
@@ -311,17 +317,15 @@
             packet.destination,
             now,
             avoid,
-            is_retransmission=packet.n_retransmissions > 0,
+            n_retransmissions=packet.n_retransmissions,
+            caller=packet.key[:CALLER_ADDRESS_BYTES],
         )
         if isinstance(server, Overload):
             self._log_overload(packet, server, now)
             server = DEFERRED if server.is_deferred else OVERLOADED
         if isinstance(server, Refused):
-            return (
-                POSSIBLY_OPEN
-                if flow is not None or packet.n_retransmissions
-                else server
-            )
+            return self._refuse_opening(packet, flow, server, now)
+        self._deferred.forget(packet.key)
         if flow is None:
             self._open(packet, server, now)
         else:
@@ -329,6 +333,21 @@
             flow.last_packet_at = now
         return server
 
+    def _refuse_opening(
+        self, packet: Packet, flow: FlowRow | None, reason: Refused, now: Millis
+    ) -> Refused:
+        """Return `reason`, or `POSSIBLY_OPEN` if the flow may be open somewhere."""
+        n_retransmissions = packet.n_retransmissions
+        if flow is not None or not self._deferred.has_all_before(
+            packet.key, n_retransmissions, now
+        ):
+            return POSSIBLY_OPEN
+        if reason is not DEFERRED:
+            self._deferred.forget(packet.key)
+        elif self._contention is not None:
+            self._deferred.note_deferred(packet.key, n_retransmissions, now)
+        return reason
+
     def _service_time(self, service: str) -> float | None:
         """Return a service's time in ms without the round trip, or None if unknown."""
         millis = self._response_monitor.service_time(service)
@@ -439,7 +458,12 @@
             )
         if len(flow.tried_servers) >= MAX_SERVERS_TRIED or flow.opening is None:
             return None
-        server = self._placement.select(flow.destination, now, flow.tried_servers)
+        server = self._placement.select(
+            flow.destination,
+            now,
+            flow.tried_servers,
+            caller=flow.key[:CALLER_ADDRESS_BYTES],
+        )
         if not isinstance(server, ServerRow) or server in flow.tried_servers:
             return None
         self.counters["openings_tried_again"] += 1
