core: count the expected requests of long flows in placement

Cause: placement counts open flows. A long flow has pauses between its requests, so a server with many idle flows looked busier than one with pending requests. Change: with `contention`, in services with priority levels, an idle flow counts as the share of its time for which it has a request pending, measured by service; flows with one request count whole, as before.

--- a/packages/stoattray-core/src/stoattray_core/steering/contention.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/contention.py
@@ -21,6 +21,7 @@
     next_transmission_millis,
 )
 from stoattray_core.steering.entries import Configuration, Route
+from stoattray_core.steering.expected_requests import ExpectedRequests
 from stoattray_core.steering.fair_shares import FairShares
 from stoattray_core.steering.priority_levels import (
     CutOff,
@@ -29,6 +30,7 @@
     find_service_levels,
 )
 from stoattray_core.steering.priority_order import Contender, Refusal
+from stoattray_core.steering.servers import ServerRow
 
 MAX_UNREFUSED_PER_SLOT = 2.0
 MAX_LOWER_UNREFUSED_PER_SLOT = 1.0
@@ -75,6 +77,11 @@
         Counts openings by level and outcome.
     random : Random
         Draws the openings to refuse.
+
+    Attributes
+    ----------
+    expected_requests : ExpectedRequests
+        Measures how many requests open flows count as.
     """
 
     def __init__(
@@ -93,11 +100,18 @@
         self._levels: dict[str, ServiceLevels] = {}
         self._services: dict[str, _Service] = {}
         self._peer_cut_offs = PeerCutOffs()
+        self.expected_requests = ExpectedRequests()
 
     def applies(self, service: str) -> bool:
         """Return whether the routes of a service have at least two priorities."""
         return service in self._current_levels()
 
+    def open_requests(self, row: ServerRow) -> float:
+        """Return the requests that the open flows of a server count as."""
+        if not self.applies(row.entry.service):
+            return row.n_open
+        return self.expected_requests.of_server(row)
+
     def note_response(
         self,
         service: str,
--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -36,11 +36,14 @@
     ----------
     queueing_factor : float
         By how much the requests before its own lengthen the response to it; at least 1.
+    idle_since : Millis or None
+        When its last request was answered; None before, and while one is pending.
     """
 
     __slots__ = (
         "destination",
         "follow_up_due_at",
+        "idle_since",
         "is_counted_pending",
         "is_established",
         "key",
@@ -78,6 +81,7 @@
         self.requested_at: Millis | None = None
         self.is_counted_pending = False
         self.queueing_factor = 1.0
+        self.idle_since: Millis | None = None
 
 
 class FlowTable:
@@ -129,6 +133,9 @@
         if not row.is_established:
             row.server.n_half_open -= 1
             server.n_half_open += 1
+        if row.idle_since is not None:
+            row.server.n_idle -= 1
+            server.n_idle += 1
         row.server = server
 
     def retry(self, row: FlowRow, server: ServerRow, now: Millis) -> None:
@@ -153,6 +160,19 @@
             queue = self._request_queues.setdefault(row.request_timeout_millis, deque())
             queue.append((now, row))
 
+    def note_idle(self, row: FlowRow, now: Millis) -> None:
+        """Note that the last request of a flow was answered."""
+        if row.idle_since is None:
+            row.idle_since = now
+            row.server.n_idle += 1
+
+    def end_idle(self, row: FlowRow) -> Millis | None:
+        """Note that a flow is no longer idle; return since when it was, or None."""
+        idle_since, row.idle_since = row.idle_since, None
+        if idle_since is not None:
+            row.server.n_idle -= 1
+        return idle_since
+
     def pop_request(self, row: FlowRow) -> Millis | None:
         """Clear the pending request; return when it was sent, or None."""
         requested_at, row.requested_at = row.requested_at, None
@@ -177,6 +197,7 @@
         if self._rows.pop(row.key, None) is None:
             return
         self.pop_request(row)
+        self.end_idle(row)
         row.server.n_open -= 1
         if not row.is_established:
             row.server.n_half_open -= 1
--- a/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
@@ -2,6 +2,7 @@
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.admission import AdmissionControl
+from stoattray_core.steering.expected_requests import ExpectedRequests
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.packet import Packet
@@ -26,6 +27,8 @@
         Adapts to the response times of requests that were served.
     on_event : EventSink
         Receives events.
+    expected_requests : ExpectedRequests or None
+        Measures the pauses of long flows; None if placement counts flows.
     """
 
     def __init__(
@@ -35,12 +38,14 @@
         failure_detector: FastFailureDetector,
         admission: AdmissionControl,
         on_event: EventSink,
+        expected_requests: ExpectedRequests | None = None,
     ) -> None:
         self._servers = servers
         self._flows = flows
         self._failure_detector = failure_detector
         self._admission = admission
         self._on_event = on_event
+        self._expected_requests = expected_requests
         self._response_times = ResponseTimes()
         self._service_times = ServiceTimes()
 
@@ -50,11 +55,20 @@
 
     def note_packet(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
         """Note a request, or the response that a packet without data acknowledges."""
+        if packet.has_data or packet.is_ending:
+            idle_since = self._flows.end_idle(flow)
+            if idle_since is not None and self._expected_requests is not None:
+                self._expected_requests.note_idle_end(
+                    flow.server.entry.service,
+                    now - idle_since,
+                    has_request=packet.has_data,
+                )
         if packet.has_data:
             self._flows.note_request(flow, now)
             return
         requested_at = self._flows.pop_request(flow)
         if requested_at is not None:
+            self._flows.note_idle(flow, now)
             self._note_response(flow, now - requested_at, now)
 
     def expire_verdicts(self, now: Millis) -> None:
@@ -65,6 +79,8 @@
 
     def _note_response(self, flow: FlowRow, waited_millis: Millis, now: Millis) -> None:
         server = flow.server
+        if self._expected_requests is not None:
+            self._expected_requests.note_response(server.entry.service, waited_millis)
         is_fast = self._response_times.note_response(server, waited_millis, now)
         service = server.entry.service
         self._service_times.note_response(
--- a/packages/stoattray-core/src/stoattray_core/steering/server_selector.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/server_selector.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 from random import Random
+from typing import Protocol
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import Route
@@ -36,6 +37,13 @@
     return service_weights[-1][0]
 
 
+class OpenFlows(Protocol):
+    """Says how many requests the open flows of a server count as."""
+
+    def open_requests(self, row: ServerRow) -> float:
+        """Return the requests that the open flows of a server count as."""
+
+
 class ServerSelector:
     """Selects servers by suspicion, load and data centre.
 
@@ -47,11 +55,18 @@
         Says which servers are deprioritised.
     random : Random
         Breaks ties.
+    open_flows : OpenFlows or None
+        Says what the open flows of a server count as; by default each counts as 1.
     """
 
     def __init__(
-        self, data_centre: str, silence_detector: SilenceDetector, random: Random
+        self,
+        data_centre: str,
+        silence_detector: SilenceDetector,
+        random: Random,
+        open_flows: OpenFlows | None = None,
     ) -> None:
+        self._open_flows = open_flows
         self._data_centre = data_centre
         self._silence_detector = silence_detector
         self._random = random
@@ -92,7 +107,10 @@
         return best
 
     def _load(self, row: ServerRow, now: Millis) -> float:
-        n_flows = row.n_open + PEER_LOAD_WEIGHT * row.peer_load + 1
+        n_open: float = row.n_open
+        if self._open_flows is not None:
+            n_open = self._open_flows.open_requests(row)
+        n_flows = n_open + PEER_LOAD_WEIGHT * row.peer_load + 1
         load = n_flows * row.slowdown / row.capacity(now)
         if row.entry.data_centre != self._data_centre:
             load += REMOTE_PENALTY
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -61,6 +61,8 @@
         Open flows that this balancer opened there.
     n_half_open : int
         Of these, flows whose opening has no follow-up yet.
+    n_idle : int
+        Of these, flows whose last request was answered.
     n_pending_requests : int
         Of the open flows, those with a pending request.
     n_peer_requests : int
@@ -82,6 +84,7 @@
         "last_established_at",
         "last_sample_at",
         "n_half_open",
+        "n_idle",
         "n_open",
         "n_peer_requests",
         "n_pending_requests",
@@ -110,6 +113,7 @@
         self.n_silent = 0
         self.n_open = 0
         self.n_half_open = 0
+        self.n_idle = 0
         self.n_pending_requests = 0
         self.n_peer_requests = 0
         self.peer_load = 0.0
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -129,10 +129,13 @@
             self._failure_detector,
             self._admission,
             on_event,
+            self._contention and self._contention.expected_requests,
         )
         self._placement = FlowPlacement(
             self.cluster_state,
-            ServerSelector(own.data_centre, self._silence_detector, random),
+            ServerSelector(
+                own.data_centre, self._silence_detector, random, self._contention
+            ),
             self._admission,
             service_time=self._service_time,
             counters=self.counters,
