--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -59,4 +59,7 @@
     version = steering.configuration.version if steering.configuration else None
     yield from format_gauge("stoattray_configuration_version", version)
     yield from format_gauge("stoattray_copy_age_ms", steering.confirmed_age(now))
+    for service, (level, share) in sorted(steering.cut_offs().items()):
+        labels = f'service="{service}",level="{level}"'
+        yield f"stoattray_cut_off_share{{{labels}}} {share:.3f}"
     yield from format_gauge("stoattray_is_reader", int(store_reader.is_reading))
--- a/packages/stoattray-core/src/stoattray_core/steering/contention.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/contention.py
@@ -30,6 +30,7 @@
     find_service_levels,
 )
 from stoattray_core.steering.priority_order import Contender, Refusal
+from stoattray_core.steering.reserve import ArrivalRate, reserved_places
 from stoattray_core.steering.servers import ServerRow
 
 MAX_UNREFUSED_PER_SLOT = 2.0
@@ -62,6 +63,7 @@
         self.credits = LowerLevelCredits()
         self.closed_at: Millis | None = None
         self.fair_shares: dict[int, FairShares] = {}
+        self.highest_arrivals = ArrivalRate()
 
 
 class Contention:
@@ -73,6 +75,8 @@
         Settings.
     configuration : callable
         Returns the configuration in force, or None before the first.
+    n_servers : callable
+        Returns the number of servers of a service.
     counters : Counter
         Counts openings by level and outcome.
     random : Random
@@ -89,11 +93,14 @@
         settings: ContentionSettings,
         *,
         configuration: Callable[[], Configuration | None],
+        n_servers: Callable[[str], int],
         counters: Counter[str],
         random: Random,
     ) -> None:
         self._settings = settings
         self._configuration = configuration
+        self._n_servers = n_servers
+        self._n_balancers = 1
         self._counters = counters
         self._random = random
         self._known_configuration: Configuration | None = None
@@ -163,6 +170,9 @@
         n_queued = server.n_certain_requests + 1 - server.capacity(now)
         cut_off.note_queue(n_queued / self._settings.queue_places, now)
         self._update(service, now)
+        state = self._service(service, now)
+        if contender.route.priority == state.cut_off.levels.levels[0]:
+            state.highest_arrivals.note_arrival(now)
         if contender.caller and contender.n_retransmissions == 0:
             self._count_caller(contender, now)
         self._count(contender.route, "offered")
@@ -176,10 +186,40 @@
         fair_shares = service.fair_shares.get(level)
         if fair_shares is not None and contender.caller:
             share = fair_shares.admitted_share(contender.caller, share, now)
-        if self._random.random() < share or service.credits.spend(level):
+        n_left = self._n_places_left(contender, now)
+        n_reserved = self._n_reserved(contender, service, now)
+        if self._random.random() < share and n_left > n_reserved:
+            return None
+        # The bounded share of lower levels may use the reserve: they must not starve.
+        if n_left > 0 and service.credits.spend(level):
             return None
         return self.explain(contender, now)
 
+    def _n_places_left(self, contender: Contender, now: Millis) -> float:
+        """Return the queue places left at the best server.
+
+        A server that is full would refuse the request once the flow is open, and
+        callers may not repeat a non-idempotent one then.
+        """
+        server = contender.server
+        n_slots_and_places = server.capacity(now) + self._settings.queue_places
+        return n_slots_and_places - server.n_certain_requests
+
+    def _n_reserved(self, contender: Contender, service: _Service, now: Millis) -> int:
+        """Return the queue places that an opening may not use."""
+        if contender.route.priority == service.cut_off.levels.levels[0]:
+            return 0
+        n_reserved = reserved_places(
+            service.highest_arrivals.per_millis(now),
+            contender.service_time,
+            n_balancers=self._n_balancers,
+            n_servers=self._n_servers(contender.server.entry.service),
+            queue_places=self._settings.queue_places,
+        )
+        if n_reserved:
+            self._counters["openings_beside_reserve"] += 1
+        return n_reserved
+
     def may_defer(self, contender: Contender, now: Millis) -> bool:
         """Return whether a refused opening may wait for its next transmission."""
         route = contender.route
@@ -244,11 +284,19 @@
             if not service.cut_off.is_open
         }
 
-    def expire(self, now: Millis) -> None:
+    def expire(self, now: Millis, *, n_balancers: int) -> None:
         """Remove outdated state; runs about once a second.
 
         Callers are counted from the beginning of contention to its end.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        n_balancers : int
+            Live balancers, this one included.
         """
+        self._n_balancers = n_balancers
         self._peer_cut_offs.expire(now)
         for service in self._services.values():
             if service.cut_off.is_open:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -31,6 +31,7 @@
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.packet import Packet, flow_name
 from stoattray_core.steering.peer_reports import PeerReports
+from stoattray_core.steering.priority_levels import CutOff
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
 from stoattray_core.steering.replica import Difference, Replica
 from stoattray_core.steering.response_monitor import ResponseMonitor
@@ -119,6 +120,7 @@
         self._contention = contention and Contention(
             contention,
             configuration=lambda: self.configuration,
+            n_servers=self.servers.n_of_service,
             counters=self.counters,
             random=random,
         )
@@ -210,6 +212,10 @@
         """Return the cut-offs between priority levels to report to other balancers."""
         return self._contention.reports(now) if self._contention is not None else ()
 
+    def cut_offs(self) -> dict[str, CutOff]:
+        """Return the cut-offs in force that are not open, by service."""
+        return self._contention.cut_offs() if self._contention is not None else {}
+
     def exclude_backlog(self, now: Millis) -> None:
         """Exclude packets queued before the start from silence detection."""
         self._detect_silence_from = now + BACKLOG_MILLIS
@@ -298,7 +304,8 @@
         self.servers.expire(now)
         self._response_monitor.expire_verdicts(now)
         if self._contention is not None:
-            self._contention.expire(now)
+            n_live = len(self.members.live(now))
+            self._contention.expire(now, n_balancers=1 + n_live)
             self._deferred.expire(now)
         self._peer_reports.retain(row.entry.name for row in self.members.live(now))
         idle = self.configuration.idle_timeout_millis if self.configuration else 0
