--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -1,8 +1,9 @@
 """Compares variants of server selection and admission on the pattern tests' loads.
 
 Prints for each variant the share of servable requests that were served within the
-target latency, on simulated fleets without a network; for the last two patterns, whose
-callers retry, the mean worth of a request:
+target latency, on simulated fleets without a network; for the two patterns whose
+callers retry, the mean worth of a request; for contention, the share of all requests of
+a level:
 ``python -m benchmarks.patterns --seeds 3``.
 """
 
@@ -13,6 +14,7 @@
 from statistics import mean
 from unittest import mock
 
+from tests.contended_fleet import BOARDS, MOVES, ContendedFleet, Kind, result
 from tests.simulated_fleet import (
     DATA_CENTRES,
     TARGET_LATENCY_MILLIS,
@@ -22,6 +24,8 @@
 
 from stoattray_core.steering import (
     admission,
+    contention,
+    cut_offs,
     peer_reports,
     response_times,
     server_selector,
@@ -68,6 +72,14 @@
     "refusals without a queue": {(admission, "MAX_UNREFUSED_PER_SLOT"): 0.0},
     "no deferral after a start": {(admission, "RECOVERY_MILLIS"): 0},
     "deferral for 2 s": {(admission, "RECOVERY_MILLIS"): 2_000},
+    "cut-offs of each balancer alone": {(cut_offs, "VALID_MILLIS"): -1},
+    "cut-offs without the requests that servers refuse": {
+        (cut_offs, "MAX_REFUSED_PRESSURE"): 0.0
+    },
+    "no deferral in contention": {
+        (contention, "MIN_FORECAST_SHARE"): EFFECTIVELY_INFINITE
+    },
+    "deferral of whatever has time": {(contention, "MIN_FORECAST_SHARE"): -1.0},
     "requests pending for 1.5 s": {
         (steering, "PENDING_TARGETS"): steering.UNANSWERED_MILLIS
     },
@@ -177,10 +189,29 @@
     return _worth(fleet, start, start + 5_000)
 
 
+def contended_share(kind: Kind, seed: int) -> float:
+    """Return the share of a kind in time, at 1.5 times the capacity for 2 s.
+
+    Requests that callers may not repeat compete with those of a lower level.
+    """
+    fleet = ContendedFleet(
+        n_hosts=4,
+        n_balancers=4,
+        seed=seed,
+        contention=contention.ContentionSettings(),
+    )
+    fleet.set_total_load(0.6)
+    fleet.run_kinds(1_000)
+    fleet.set_total_load(1.5)
+    return result(fleet.run_kinds(2_000), kind).in_time
+
+
 PATTERNS: dict[str, Callable[[int], float]] = {
     **{name: partial(on_time_share, load) for name, load in LOADS.items()},
     "retried burst": retried_burst_worth,
     "power loss": power_loss_worth,
+    "higher level in contention": partial(contended_share, MOVES),
+    "lower level in contention": partial(contended_share, BOARDS),
 }
 
 
