--- a/deploy/tests/test_record_decoder.py
+++ b/deploy/tests/test_record_decoder.py
@@ -18,7 +18,9 @@
 from stoattray_core.steering.entries import (
     BackendServerEntry,
     Configuration,
+    Evacuation,
     RequestKind,
+    WarmUp,
 )
 from stoattray_core.steering.replica import Record
 from stoattray_platform.record_decoder import PlatformRecordDecoder
@@ -147,6 +149,48 @@
         self.assertIs(plain.kind, RequestKind.NON_IDEMPOTENT)
         self.assertEqual((read.version, read.idle_timeout_millis), (7, 15_000))
 
+    def warm_ups(self, services):
+        decoded = self.decoder.decode(build_configuration_record(services=services))
+        self.assertIsInstance(decoded, Configuration)
+        return decoded.warm_ups
+
+    def test_warm_ups_of_services(self):
+        """Guards against a limit that is lost, also a rate of 0."""
+        services = [
+            {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": 0.0},
+            {"name": "wuno96b", "warmup_s": 0.5, "warmup_per_s": 3},
+        ]
+        expected = {"huvo11a": WarmUp(2_000, 0.0), "wuno96b": WarmUp(500, 3.0)}
+        self.assertEqual(self.warm_ups(services), expected)
+
+    def test_missing_or_malformed_warm_ups_mean_no_limit(self):
+        """Guards against a configuration that one service's value refuses."""
+        valid = {"name": "wuno96b", "warmup_s": 1, "warmup_per_s": 2.5}
+        malformed = (
+            {"name": "huvo11a"},
+            {"name": "huvo11a", "warmup_s": 2.0},
+            {"name": "huvo11a", "warmup_per_s": 2.0},
+            {"name": "huvo11a", "warmup_s": "2", "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": True, "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": -1, "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": None},
+            {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": float("nan")},
+            {"name": "huvo11a", "warmup_s": float("inf"), "warmup_per_s": 1.0},
+            {"name": "huvo11a", "warmup_s": 1e300, "warmup_per_s": 1.0},
+            {"name": ["huvo11a"], "warmup_s": 2.0, "warmup_per_s": 1.0},
+            {"warmup_s": 2.0, "warmup_per_s": 1.0},
+            ["huvo11a"],
+            None,
+        )
+        for item in malformed:
+            with self.subTest(item):
+                self.assertEqual(
+                    self.warm_ups([item, valid]), {"wuno96b": WarmUp(1_000, 2.5)}
+                )
+        for services in (None, {}, "huvo11a", 3):
+            with self.subTest(services):
+                self.assertEqual(self.warm_ups(services), {})
+
     def test_unknown_kind_is_treated_as_non_idempotent(self):
         body = build_configuration_body()
         body["routes"][0]["type"] = "new-kind"
@@ -158,3 +202,36 @@
     def test_arbitrary_value_in_a_field_is_decoded_or_refused(self, value, name):
         entry = self.decoder.decode(build_configuration_record(**{name: value}))
         self.assertIsInstance(entry, Configuration | Refused)
+
+
+class EvacuationRecordTest(unittest.TestCase):
+    """Keys by which operators evacuate a data centre."""
+
+    def setUp(self):
+        self.decoder = PlatformRecordDecoder()
+
+    @given(st.binary())
+    def test_value_is_not_read(self, value):
+        """Guards against an evacuation that is ignored because of its value."""
+        record = Record("op/evacuate/luzon-a", 3, value)
+        self.assertEqual(self.decoder.decode(record), Evacuation("luzon-a"))
+
+    def test_key_without_a_data_centre_is_malformed(self):
+        """Guards against an evacuation that is ignored without a log line."""
+        entry = self.decoder.decode(Record("op/evacuate/", 3, b"{}"))
+        self.assertEqual(entry.kind, ErrorKind.ENTRY_MALFORMED)
+        self.assertIsNone(self.decoder.evacuated_data_centre("op/evacuate/"))
+
+    def test_data_centre_of_a_key(self):
+        """Guards against removals that do not end the evacuation."""
+        names = {
+            key: self.decoder.evacuated_data_centre(key)
+            for key in ("op/evacuate/luzon-a", "op/config", "servers/i-1", "op/evacuat")
+        }
+        self.assertEqual(names.pop("op/evacuate/luzon-a"), "luzon-a")
+        self.assertEqual(set(names.values()), {None})
+        self.assertIsNone(self.decoder.backend_server_name("op/evacuate/luzon-a"))
+
+    def test_configuration_and_other_operator_keys_are_no_evacuation(self):
+        """Guards against a prefix that takes further keys of operators."""
+        self.assertIsNone(self.decoder.decode(Record("op/evacuated", 1, b"{}")))
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -208,12 +208,22 @@
             return None
         return peer.name if self._send_datagram(RELAY_PREFIX + data, peer) else None
 
-    def build_heartbeat(self, *, n_listed: int = N_LISTED_MEMBERS) -> Heartbeat:
-        """Return a heartbeat with the current state of this balancer."""
+    def build_heartbeat(
+        self, *, n_listed: int = N_LISTED_MEMBERS, includes_load: bool = False
+    ) -> Heartbeat:
+        """Return a heartbeat with the current state of this balancer.
+
+        Parameters
+        ----------
+        n_listed : int
+            Live members to list.
+        includes_load : bool
+            Whether to include the loads of data centres, if settings ask for them.
+        """
         steering = self._steering
         now = self._clock()
         is_reader = self._is_reading() and not self.is_leaving
-        confirmed_age = max(0, steering.confirmed_age(now))
+        confirmed_age = max(0, steering.reported_age(now))
         return Heartbeat(
             member=self._own,
             is_ready=steering.is_ready and not self.is_leaving,
@@ -228,6 +238,7 @@
             first_reader=steering.members.first_reader(
                 now, confirmed_age if is_reader else None
             ),
+            load_rows=steering.load_rows(now) if includes_load else (),
             cut_offs=steering.cut_off_reports(now),
         )
 
@@ -237,7 +248,9 @@
         )
         if not recipients:
             return
-        data = encode_heartbeat(self.build_heartbeat())
+        # Loads go into the heartbeats that also leave the data centre, one in three:
+        # in all of them they would take up to 13 KB a second.
+        data = encode_heartbeat(self.build_heartbeat(includes_load=include_remote))
         for entry in recipients:
             self._send_datagram(data, entry)
 
@@ -250,6 +263,7 @@
         return True
 
     def _receive_datagrams(self) -> None:
+        self._steering.warm_up.confirmation.note_running(self._clock())
         while True:
             try:
                 data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -285,6 +299,7 @@
         if address in self._pulling_from:
             return
         self._pulling_from.add(address)
+        requested_at = self._clock()
         try:
             with gevent.Timeout(PULL_TIMEOUT_SECONDS, TimeoutError("too slow")):
                 response = self._request_difference(address)
@@ -299,7 +314,9 @@
             )
             return
         heartbeat, difference = response
-        self._steering.apply_peer_response(heartbeat, difference, self._clock())
+        self._steering.apply_peer_response(
+            heartbeat, difference, self._clock(), requested_at=requested_at
+        )
 
     def _request_difference(
         self, address: Address
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/settings.py
@@ -6,6 +6,8 @@
 from stoattray_core._errors import ErrorKind, StoattrayError
 from stoattray_core._identifiers import Address
 from stoattray_core.steering.contention import ContentionSettings
+from stoattray_core.steering.locality import RemoteTrafficSettings
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
 
 LOG_LEVELS = ("info", "error")
 FIXED_AT_START = (
@@ -19,9 +21,16 @@
     "min_lease_ms",
     "flow_life_ms",
     "contention",
+    "warm_up_bounds",
+    "remote_traffic",
 )
 """Settings that take effect only after a restart; others are applied on reload."""
 
+MAX_ROUND_TRIP_MILLIS = 1_000
+MAX_PRICE_MILLIS = 600_000
+"""Upper bounds of the limits of traffic between data centres; a price of ten minutes
+keeps all openings that a local server can take."""
+
 _UNSET = object()
 
 
@@ -42,7 +51,9 @@
     flow_life_ms: int
     grace_ms: int
     log_level: str
-    contention: ContentionSettings | None
+    contention: ContentionSettings | None = None
+    warm_up_bounds: WarmUpBounds | None = None
+    remote_traffic: RemoteTrafficSettings | None = None
 
 
 def load_steering_settings(path: str) -> SteeringSettings:
@@ -91,6 +102,8 @@
             flow_life_ms=int(self._number("flow_life_seconds", 1, 86_400) * 1_000),
             grace_ms=int(self._number("grace_seconds", 1, 3_600) * 1_000),
             log_level=self._choice("log_level", LOG_LEVELS),
+            warm_up_bounds=self._warm_up_bounds(),
+            remote_traffic=self._remote_traffic(),
             contention=self._contention(),
         )
 
@@ -109,10 +122,32 @@
             queue_places=int(reader._number("queue_places", 1, 10_000))
         )
 
+    def _remote_traffic(self) -> RemoteTrafficSettings | None:
+        """Return the limits of traffic between data centres, or None if unset."""
+        values = self._value("remote_traffic", None)
+        if values is None:
+            return None
+        if not isinstance(values, dict):
+            raise _invalid(f"remote_traffic: {values!r} is not an object")
+        reader = _SettingsReader(values, "remote_traffic.")
+        return RemoteTrafficSettings(
+            reader._number("min_round_trip_ms", 0, MAX_ROUND_TRIP_MILLIS),
+            reader._number("price_ms", 0, MAX_PRICE_MILLIS, default=0.0),
+        )
+
+    def _warm_up_bounds(self) -> WarmUpBounds | None:
+        """Return the allowance for cold servers; None if both settings are missing."""
+        names = ("warm_up_overage", "warm_up_slack")
+        if not any(name in self._values for name in names):
+            return None
+        overage = self._number("warm_up_overage", 0, 1_000)
+        slack = self._number("warm_up_slack", 0, 1e6)
+        return WarmUpBounds(float(overage), float(slack))
+
     def _value(self, name: str, default: Any = _UNSET) -> Any:
         value = self._values.get(name, default)
         if value is _UNSET:
-            raise _invalid(f"{name}: is missing")
+            raise _invalid(f"{self._prefix}{name}: is missing")
         return value
 
     def _text(self, name: str, default: Any = _UNSET) -> str:
@@ -128,8 +163,10 @@
             raise _invalid(f"{name}: {value!r} is not one of {', '.join(values)}")
         return value
 
-    def _number(self, name: str, minimum: float, maximum: float) -> float:
-        value = self._value(name)
+    def _number(
+        self, name: str, minimum: float, maximum: float, default: Any = _UNSET
+    ) -> float:
+        value = self._value(name, default)
         path = self._prefix + name
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise _invalid(f"{path}: {value!r} is not a number")
--- a/packages/stoattray-core/src/stoattray_core/steering/contention.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/contention.py
@@ -76,7 +76,7 @@
     configuration : callable
         Returns the configuration in force, or None before the first.
     n_servers : callable
-        Returns the number of servers of a service.
+        Returns the number of a service's servers that may get openings at a time.
     counters : Counter
         Counts openings by level and outcome.
     random : Random
@@ -93,7 +93,7 @@
         settings: ContentionSettings,
         *,
         configuration: Callable[[], Configuration | None],
-        n_servers: Callable[[str], int],
+        n_servers: Callable[[str, Millis], int],
         counters: Counter[str],
         random: Random,
     ) -> None:
@@ -213,7 +213,7 @@
             service.highest_arrivals.per_millis(now),
             contender.service_time,
             n_balancers=self._n_balancers,
-            n_servers=self._n_servers(contender.server.entry.service),
+            n_servers=self._n_servers(contender.server.entry.service, now),
             queue_places=self._settings.queue_places,
         )
         if n_reserved:
--- a/packages/stoattray-core/src/stoattray_core/steering/cut_offs.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cut_offs.py
@@ -15,10 +15,10 @@
 
 import math
 from collections.abc import Iterable
-from statistics import fmean
 from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering.averages import mean
 from stoattray_core.steering.priority_levels import (
     MIN_POSITION,
     CutOff,
@@ -207,7 +207,7 @@
             self._control(pressure, trend, n_intervals)
         if delay is not None and peer_positions:
             pull = 1.0 - (1.0 - PULL) ** n_intervals
-            self.position += (fmean(peer_positions) - self.position) * pull
+            self.position += (mean(peer_positions) - self.position) * pull
         self._previous_delay = delay or 0.0
         open_position = self.levels.open_position
         self.position = max(MIN_POSITION, min(open_position, self.position))
@@ -258,7 +258,7 @@
     def _follow(self, peer_positions: list[float], elapsed: Millis) -> None:
         """Take the position of others that know more, or open the cut-off."""
         if peer_positions:
-            self.position = fmean(peer_positions)
+            self.position = mean(peer_positions)
         else:
             self._open_up(elapsed)
 
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -7,10 +7,13 @@
 from stoattray_core._errors import ErrorKind
 from stoattray_core._identifiers import Millis
 from stoattray_core._sentinel import Refused
-from stoattray_core.steering.admission import AdmissionControl, Overload
+from stoattray_core.steering.admission import AdmissionControl, Overload, may_wait
 from stoattray_core.steering.cluster_state import ClusterState
+from stoattray_core.steering.entries import Route
+from stoattray_core.steering.protocols import FarServerRule
 from stoattray_core.steering.server_selector import ServerSelector, draw_service
 from stoattray_core.steering.servers import ServerRow
+from stoattray_core.steering.warm_up_limit import WarmUpLimit
 
 FRESH_REPLICA_MILLIS = 2_000
 """A replica confirmed within this time is recent enough to reset openings to unknown
@@ -18,6 +21,8 @@
 
 NO_ROUTE = Refused(ErrorKind.NO_ROUTE)
 NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
+OVERLOADED = Refused(ErrorKind.OVERLOADED)
+DEFERRED = Refused(ErrorKind.DEFERRED)
 STALE_REPLICA = Refused(ErrorKind.UNKNOWN_ADDRESS)
 
 
@@ -32,12 +37,18 @@
         Selects the best server of a service.
     admission : AdmissionControl
         Decides whether an opening is refused for overload.
+    warm_up : WarmUpLimit
+        Excludes cold servers that may not get an opening.
     service_time : callable
         Returns a service's time in ms without the round trip, or None if unknown.
     counters : Counter
-        Counts the openings that are deferred or refused for overload.
+        Counts the openings that are deferred, refused for overload, or without a server
+        because of an evacuation.
     random : Random
         Draws a service by weight.
+    far_rule : FarServerRule or None
+        Selects the server if some candidates are in far data centres; None if the
+        settings set no limit for the traffic between data centres.
     """
 
     def __init__(
@@ -46,16 +57,20 @@
         selector: ServerSelector,
         admission: AdmissionControl,
         *,
+        warm_up: WarmUpLimit,
         service_time: Callable[[str], float | None],
         counters: Counter[str],
         random: Random,
+        far_rule: FarServerRule | None = None,
     ) -> None:
         self._cluster_state = cluster_state
         self._selector = selector
         self._admission = admission
+        self._warm_up = warm_up
         self._service_time = service_time
         self._counters = counters
         self._random = random
+        self._far_rule = far_rule
 
     def select(
         self,
@@ -88,9 +103,16 @@
             is_complete = not self._cluster_state.may_lack_writes(now)
             return NO_ROUTE if is_fresh and is_complete else STALE_REPLICA
         service = draw_service(route, self._random)
-        rows = self._cluster_state.servers.candidates(service, self._random)
-        server = self._selector.select(rows, now, avoid=avoid)
+        exclusion = self._warm_up.exclusion(service, now)
+        rows = self._cluster_state.servers.candidates(service, self._random, exclusion)
+        server = self._select_server(rows, service, route, now, avoid)
+        if exclusion is not None and exclusion.withheld:
+            self._warm_up.note_withheld(exclusion, now)
+            if server is None:
+                return self._refuse_for_cold(route)
         if server is None:
+            if self._cluster_state.servers.has_evacuated(service):
+                self._counters["openings_evacuated"] += 1
             return NO_BACKEND_SERVER
         overload = self._admission.check(
             server,
@@ -106,3 +128,31 @@
             self._counters[f"openings_{name}"] += 1
             return overload
         return server
+
+    def _select_server(
+        self,
+        rows: list[ServerRow],
+        service: str,
+        route: Route,
+        now: Millis,
+        avoid: list[ServerRow],
+    ) -> ServerRow | None:
+        """Return the best candidate of a service, or None if there is none."""
+        if self._far_rule is None or not self._far_rule.applies_to(rows):
+            return self._selector.select(rows, now, avoid=avoid)
+        return self._far_rule.select(
+            rows,
+            service,
+            route.target_latency_millis,
+            self._service_time(service),
+            now,
+            avoid=avoid,
+        )
+
+    def _refuse_for_cold(self, route: Route) -> Refused:
+        """Refuse an opening because all servers are cold and withheld."""
+        is_deferred = may_wait(route)
+        self._counters["openings_all_cold"] += 1
+        name = "deferred" if is_deferred else "overloaded"
+        self._counters[f"openings_{name}"] += 1
+        return DEFERRED if is_deferred else OVERLOADED
--- a/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
@@ -5,6 +5,7 @@
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
+from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.replica import Version
 
 MAX_CONFIRMED_AGE_MILLIS = 2_200
@@ -41,6 +42,9 @@
         confirmed that reader's replica.
     era : int
         Era of the store that the revision belongs to.
+    load_rows : tuple of LoadRow
+        Newest known loads of data centres; empty unless the sender's settings limit the
+        traffic between data centres.
     cut_offs : tuple of CutOffReport
         Cut-offs between priority levels that it measured, of services in contention.
     """
@@ -56,6 +60,7 @@
     failing_cookies: tuple[int, ...] = ()
     first_reader: tuple[str, Millis] | None = None
     era: int = 0
+    load_rows: tuple[LoadRow, ...] = ()
     cut_offs: tuple[CutOffReport, ...] = ()
 
     @property
--- a/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/response_monitor.py
@@ -1,5 +1,7 @@
 """Passive monitoring of backend servers' responses, from callers' packets."""
 
+from collections.abc import Callable
+
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.admission import AdmissionControl
 from stoattray_core.steering.expected_requests import ExpectedRequests
@@ -8,7 +10,7 @@
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.protocols import EventSink
 from stoattray_core.steering.response_times import ResponseTimes
-from stoattray_core.steering.servers import ServerTable
+from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.service_times import ServiceTimes
 
 
@@ -29,6 +31,12 @@
         Receives events.
     expected_requests : ExpectedRequests or None
         Measures the pauses of long flows; None if placement counts flows.
+
+    Attributes
+    ----------
+    on_response : callable or None
+        Receives the server, the response time without queueing, and the time of each
+        response that is not too fast.
     """
 
     def __init__(
@@ -48,6 +56,7 @@
         self._expected_requests = expected_requests
         self._response_times = ResponseTimes()
         self._service_times = ServiceTimes()
+        self.on_response: Callable[[ServerRow, float, Millis], None] | None = None
 
     def service_time(self, service: str) -> float | None:
         """Return a service's time in ms including a round trip, or None if unknown."""
@@ -94,6 +103,8 @@
             is_fast=is_fast,
             is_refused=is_fast and flow.queueing_factor > 1.0,
         )
+        if not is_fast and self.on_response is not None:
+            self.on_response(server, waited_millis / flow.queueing_factor, now)
         is_new = self._failure_detector.note_response(
             server,
             now,
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -6,13 +6,14 @@
 again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 from random import Random
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.cookies import CookieTable
 from stoattray_core.steering.entries import BackendServerEntry
+from stoattray_core.steering.evacuations import Evacuations
 
 REREGISTRATION_MILLIS = 2_600
 """Live servers register again within about 2 s after the store recovers."""
@@ -55,8 +56,12 @@
     ----------
     warm_at : Millis
         When its warm-up ends.
+    maybe_cold_until : Millis
+        Until when it may be cold without a record of it, as it answered after silence.
     presence : Presence
         Whether its record is in the store, lapsed or removed.
+    removed_at : Millis or None
+        When its record was removed; None while it is known.
     n_open : int
         Open flows that this balancer opened there.
     n_half_open : int
@@ -83,6 +88,7 @@
         "fast_share",
         "last_established_at",
         "last_sample_at",
+        "maybe_cold_until",
         "n_half_open",
         "n_idle",
         "n_open",
@@ -95,6 +101,7 @@
         "peer_reported_at",
         "presence",
         "record_received_at",
+        "removed_at",
         "response_millis",
         "slowdown",
         "suspect_until",
@@ -107,6 +114,8 @@
         self.address = entry.address
         self.presence = Presence.LISTED
         self.warm_at: Millis = 0
+        self.maybe_cold_until: Millis = 0
+        self.removed_at: Millis | None = None
         self.record_received_at: Millis = 0
         self.last_established_at: Millis = 0
         self.suspect_until: Millis = 0
@@ -174,16 +183,26 @@
         How long the cookie of a removed server stays valid.
     data_centre : str
         Data centre of this balancer.
+    evacuations : Evacuations or None
+        Data centres whose servers are no candidates; none by default.
     """
 
-    def __init__(self, cookie_retention_millis: Millis, data_centre: str) -> None:
+    def __init__(
+        self,
+        cookie_retention_millis: Millis,
+        data_centre: str,
+        evacuations: Evacuations | None = None,
+    ) -> None:
         self._data_centre = data_centre
+        self._evacuations = Evacuations() if evacuations is None else evacuations
         self._rows: dict[str, ServerRow] = {}
         self._removed: dict[str, ServerRow] = {}
         self._local: dict[str, list[ServerRow]] = {}
         self._remote: dict[str, list[ServerRow]] = {}
         self._cookies = CookieTable(cookie_retention_millis)
         self._lapsed: set[str] = set()
+        self._usable: dict[str, tuple[list[ServerRow], list[ServerRow]]] = {}
+        self._usable_at = 0
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -191,6 +210,11 @@
     def __iter__(self) -> Iterator[ServerRow]:
         return iter(self._rows.values())
 
+    @property
+    def services(self) -> set[str]:
+        """Return the services that servers are known of."""
+        return self._local.keys() | self._remote.keys()
+
     def get(self, name: str) -> ServerRow | None:
         """Return a listed or lapsed server."""
         return self._rows.get(name)
@@ -199,23 +223,76 @@
         """Return the servers of a service, draining ones included."""
         return self._local.get(service, []) + self._remote.get(service, [])
 
-    def n_of_service(self, service: str) -> int:
-        """Return the number of servers of a service."""
-        return len(self._local.get(service, ())) + len(self._remote.get(service, ()))
+    def local_of_service(self, service: str) -> list[ServerRow]:
+        """Return a service's servers in this data centre, draining ones included."""
+        return self._local.get(service, [])
+
+    def n_of_service(
+        self, service: str, is_excluded: Callable[[ServerRow], bool] | None = None
+    ) -> int:
+        """Return the number of servers of a service, without evacuated ones.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        is_excluded : callable or None
+            Tells which servers to leave out.
+        """
+        local, remote = self._usable_rows(service)
+        n_excluded = 0
+        if is_excluded is not None:
+            n_excluded = sum(is_excluded(row) for row in [*local, *remote])
+        return len(local) + len(remote) - n_excluded
 
     def is_saturated(self, service: str, now: Millis) -> bool:
         """Return whether the local servers of a service have more flows than slots."""
-        rows = self._local.get(service) or self._remote.get(service, [])
+        local, remote = self._usable_rows(service)
+        rows = local or remote
         n_flows = sum(row.n_open + row.peer_load for row in rows)
         return n_flows > sum(row.capacity(now) for row in rows)
 
-    def candidates(self, service: str, random: Random) -> list[ServerRow]:
-        """Return a bounded number of servers of a service to select from."""
-        local = _random_window(self._local.get(service, []), N_LOCAL_CANDIDATES, random)
-        return local + _random_window(
-            self._remote.get(service, []), N_REMOTE_CANDIDATES, random
+    def candidates(
+        self,
+        service: str,
+        random: Random,
+        is_excluded: Callable[[ServerRow], bool] | None = None,
+    ) -> list[ServerRow]:
+        """Return a bounded number of servers of a service to select from.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        random : Random
+            Draws the servers.
+        is_excluded : callable or None
+            Tells which servers to leave out. They are left out before the bounded
+            number is taken, so that they do not displace others.
+        """
+        local, remote = self._usable_rows(service)
+        if is_excluded is not None:
+            local = [row for row in local if not is_excluded(row)]
+            remote = [row for row in remote if not is_excluded(row)]
+        return _random_window(local, N_LOCAL_CANDIDATES, random) + _random_window(
+            remote, N_REMOTE_CANDIDATES, random
+        )
+
+    def is_evacuated(self, server: ServerRow) -> bool:
+        """Return whether the data centre of a server is evacuated."""
+        return self._evacuations.is_evacuated(server.entry.data_centre)
+
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether an evacuation alone excludes a server of a service."""
+        return len(self._evacuations) > 0 and any(
+            row.accepts_flows and self.is_evacuated(row)
+            for row in self.of_service(service)
         )
 
+    def n_in_data_centre(self, data_centre: str) -> int:
+        """Return the number of servers in a data centre."""
+        return sum(row.entry.data_centre == data_centre for row in self)
+
     def by_cookie(self, cookie: int) -> ServerRow | None:
         """Return the server with this cookie, also if it was removed recently."""
         name = self._cookies.resolve(cookie)
@@ -237,6 +314,19 @@
         self._lapsed.discard(entry.name)
         return row
 
+    def earlier_start(
+        self, entry: BackendServerEntry, now: Millis
+    ) -> tuple[int, Millis] | None:
+        """Return the known start of a server that starts again, and until when.
+
+        The second value is when its record was removed, or `now` if it is still known.
+        The result is None if the entry is of the known start, or of a new server.
+        """
+        row = self._rows.get(entry.name) or self._removed.get(entry.name)
+        if row is None or row.entry.started_at == entry.started_at:
+            return None
+        return row.entry.started_at, now if row.removed_at is None else row.removed_at
+
     def is_outdated(self, entry: BackendServerEntry) -> bool:
         """Return whether an entry is older than what is known of its server.
 
@@ -293,6 +383,7 @@
             self._removed.pop(name, None)
 
     def _add(self, entry: BackendServerEntry, before: ServerRow | None) -> ServerRow:
+        self._usable.clear()
         if before is not None:
             self._service_rows(before.entry).remove(before)
         sharing = self._cookies.add(entry.name, entry.started_at)
@@ -304,13 +395,35 @@
         return row
 
     def _remove(self, row: ServerRow, now: Millis) -> None:
+        self._usable.clear()
         row.presence = Presence.GONE
+        row.removed_at = now
         self._lapsed.discard(row.name)
         del self._rows[row.name]
         self._removed[row.name] = row
         self._service_rows(row.entry).remove(row)
         self._update_cookies(self._cookies.remove(row.name, now))
 
+    def _usable_rows(self, service: str) -> tuple[list[ServerRow], list[ServerRow]]:
+        """Return the local and remote servers of a service, without evacuated ones.
+
+        The lists are kept until a server or an evacuation changes. Filtering 600
+        servers for each opening took 197 us.
+        """
+        rows = self._local.get(service, []), self._remote.get(service, [])
+        if len(self._evacuations) == 0:
+            return rows
+        if self._usable_at != self._evacuations.n_changes:
+            self._usable_at = self._evacuations.n_changes
+            self._usable.clear()
+        usable = self._usable.get(service)
+        if usable is None:
+            local, remote = (
+                [row for row in part if not self.is_evacuated(row)] for part in rows
+            )
+            usable = self._usable[service] = local, remote
+        return usable
+
     def _update_cookies(self, names: list[str]) -> None:
         for name in names:
             self._rows[name].cookie = self._cookies.cookie(name)
--- a/packages/stoattray-core/src/stoattray_core/steering/service_times.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/service_times.py
@@ -4,9 +4,8 @@
 they would grow in a burst, and openings would be refused although servers are idle.
 """
 
-from statistics import median
-
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering.averages import median
 
 N_FIRST_SAMPLES = 20
 """Responses of a service before its service time is used."""
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -23,22 +23,32 @@
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.deferral import DeferredOpenings
 from stoattray_core.steering.entries import Configuration, MemberEntry
+from stoattray_core.steering.evacuations import Evacuations
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
-from stoattray_core.steering.flow_placement import FlowPlacement
+from stoattray_core.steering.flow_placement import (
+    DEFERRED,
+    OVERLOADED,
+    FlowPlacement,
+)
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
+from stoattray_core.steering.load_reports import LoadRow
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.packet import Packet, flow_name
 from stoattray_core.steering.peer_reports import PeerReports
 from stoattray_core.steering.priority_levels import CutOff
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
+from stoattray_core.steering.remote_traffic import RemoteTraffic
 from stoattray_core.steering.replica import Difference, Replica
 from stoattray_core.steering.response_monitor import ResponseMonitor
 from stoattray_core.steering.server_selector import ServerSelector
 from stoattray_core.steering.servers import ServerRow, ServerTable
 from stoattray_core.steering.silence_detector import SilenceDetector
 from stoattray_core.steering.store_health import StoreHealth
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
+from stoattray_core.steering.warm_up_limit import WarmUpLimit
 
 MAX_TICK_GAP_MILLIS = 200
 """A longer gap between two ticks means that this process was paused, so openings
@@ -68,8 +78,6 @@
 CALLER_ADDRESS_BYTES = 4
 """A flow's key begins with the caller's IPv4 address."""
 
-OVERLOADED = Refused(ErrorKind.OVERLOADED)
-DEFERRED = Refused(ErrorKind.DEFERRED)
 NOT_READY = Refused(ErrorKind.NOT_READY)
 UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
 POSSIBLY_OPEN = Refused(ErrorKind.NO_OWNER)
@@ -87,12 +95,16 @@
         Decodes records.
     flow_life_millis : Millis
         Longest duration of a flow; cookies of removed servers stay valid as long.
+    warm_up_bounds : WarmUpBounds or None
+        Allowance for cold servers; None if openings for them are not limited.
     random : Random
         Breaks ties.
     on_event : EventSink
         Receives events.
     contention : ContentionSettings or None
         Switches the order of refusal by priority levels on; None if it is off.
+    remote_traffic : RemoteTrafficSettings or None
+        Limits the traffic between data centres; None for no limit.
     """
 
     def __init__(
@@ -104,23 +116,40 @@
         random: Random,
         on_event: EventSink,
         contention: ContentionSettings | None = None,
+        warm_up_bounds: WarmUpBounds | None = None,
+        remote_traffic: RemoteTrafficSettings | None = None,
     ) -> None:
+        self.counters: Counter[str] = Counter()
+        evacuations = Evacuations()
+        self.warm_up = WarmUpLimit(
+            own.name,
+            warm_up_bounds,
+            configuration=lambda: self.cluster_state.configuration,
+            evacuation_ended_at=evacuations.ended_at,
+            counters=self.counters,
+            on_event=on_event,
+        )
         self.members = MemberTable(own, random)
-        self.servers = ServerTable(flow_life_millis, own.data_centre)
+        self.servers = ServerTable(flow_life_millis, own.data_centre, evacuations)
         self.cluster_state = ClusterState(
-            self.servers, self.members, decoder=decoder, on_event=on_event
+            self.servers,
+            self.members,
+            evacuations,
+            warm_up=self.warm_up,
+            decoder=decoder,
+            on_event=on_event,
         )
-        self.counters: Counter[str] = Counter()
         self.follow_up_times = Histogram()
         self._random = random
         self._on_event = on_event
+        self._own_data_centre = own.data_centre
         self._silence_detector = SilenceDetector(own.data_centre)
         self._flows = FlowTable()
         self._failure_detector = FastFailureDetector()
         self._contention = contention and Contention(
             contention,
             configuration=lambda: self.configuration,
-            n_servers=self.servers.n_of_service,
+            n_servers=self._n_servers,
             counters=self.counters,
             random=random,
         )
@@ -133,18 +162,35 @@
             on_event,
             self._contention and self._contention.expected_requests,
         )
+        self._peer_reports = PeerReports(self.servers, self._failure_detector)
+        self._deferred = DeferredOpenings()
+        selector = ServerSelector(
+            own.data_centre, self._silence_detector, random, self._contention
+        )
+        self.remote_traffic: RemoteTraffic | None = None
+        if remote_traffic is not None:
+            self.remote_traffic = RemoteTraffic(
+                own.data_centre,
+                remote_traffic,
+                servers=self.servers,
+                members=self.members,
+                peer_reports=self._peer_reports,
+                silence_detector=self._silence_detector,
+                selector=selector,
+                random=random,
+                on_event=on_event,
+            )
+            self._response_monitor.on_response = self.remote_traffic.note_response
         self._placement = FlowPlacement(
             self.cluster_state,
-            ServerSelector(
-                own.data_centre, self._silence_detector, random, self._contention
-            ),
+            selector,
             self._admission,
+            warm_up=self.warm_up,
             service_time=self._service_time,
             counters=self.counters,
             random=random,
+            far_rule=self.remote_traffic,
         )
-        self._peer_reports = PeerReports(self.servers, self._failure_detector)
-        self._deferred = DeferredOpenings()
         self._last_tick_at: Millis | None = None
         self._detect_silence_from: Millis = 0
         self._drop_openings_until: Millis = 0
@@ -192,10 +238,32 @@
         """Return how long ago the replica was confirmed complete; `now` if never."""
         return self.cluster_state.confirmed_age(now)
 
+    def reported_age(self, now: Millis) -> Millis:
+        """Return the age of the confirmation that peers may rely on.
+
+        With a limit for cold servers they rely on it for ownership, too, so a report
+        that was queued during a pause here must not make them confirm theirs.
+        """
+        if self.warm_up.is_active:
+            return self.warm_up.confirmation.age(now)
+        return self.confirmed_age(now)
+
     def confirm_replica(self, at: Millis) -> None:
         """Note that the replica was complete at a time."""
         self.cluster_state.confirm_replica(at)
 
+    def confirm_by_watch(
+        self, started_at: Millis, now: Millis, wait_millis: Millis
+    ) -> None:
+        """Note the answer to a watch of the store, of at most `wait_millis`."""
+        self.confirm_replica(now)
+        self.warm_up.confirmation.confirm_by_watch(started_at, now, wait_millis)
+
+    def confirm_by_snapshot(self, started_at: Millis) -> None:
+        """Note a snapshot of the store that was requested at a time."""
+        self.confirm_replica(started_at)
+        self.warm_up.confirmation.confirm(started_at)
+
     def failing_cookies(self, now: Millis) -> tuple[int, ...]:
         """Return cookies of servers that this balancer itself found to be failing."""
         return self._failure_detector.failing_cookies(now)
@@ -208,6 +276,10 @@
             if row.n_pending_requests > 0
         }
 
+    def load_rows(self, now: Millis) -> tuple[LoadRow, ...]:
+        """Return the loads for a heartbeat; none unless settings ask for them."""
+        return () if self.remote_traffic is None else self.remote_traffic.rows(now)
+
     def cut_off_reports(self, now: Millis) -> tuple[CutOffReport, ...]:
         """Return the cut-offs between priority levels to report to other balancers."""
         return self._contention.reports(now) if self._contention is not None else ()
@@ -225,10 +297,24 @@
         """Apply changes from the store or a peer."""
         self.cluster_state.apply(difference, now)
 
-    def apply_heartbeat(self, heartbeat: Heartbeat, now: Millis) -> bool:
-        """Apply a heartbeat; return whether its sender is new or had been silent."""
+    def apply_heartbeat(
+        self, heartbeat: Heartbeat, now: Millis, *, is_response: bool = False
+    ) -> bool:
+        """Apply a heartbeat; return whether its sender is new or had been silent.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            The heartbeat.
+        now : Millis
+            Current time.
+        is_response : bool
+            Whether it came with requested changes, which may have taken long.
+        """
         was_silent = self.members.receive_heartbeat(heartbeat, now)
         self._peer_reports.apply(heartbeat, now)
+        if self.remote_traffic is not None:
+            self.remote_traffic.merge(heartbeat.load_rows, now)
         if self._contention is not None:
             self._contention.apply_reports(
                 heartbeat.member.name, heartbeat.cut_offs, now
@@ -237,19 +323,43 @@
             self.store_health.note_peer_recovery(heartbeat.recovery_age, now)
         # Two empty replicas (revision 0) must not confirm each other.
         if heartbeat.revision > 0 and heartbeat.version == self.replica.version:
-            self.confirm_replica(now - heartbeat.confirmed_age)
+            at = now - heartbeat.confirmed_age
+            self.confirm_replica(at)
+            if not is_response:
+                self.warm_up.confirmation.confirm_by_report(at, now)
         return was_silent
 
     def apply_peer_response(
-        self, heartbeat: Heartbeat, difference: Difference, now: Millis
+        self,
+        heartbeat: Heartbeat,
+        difference: Difference,
+        now: Millis,
+        *,
+        requested_at: Millis | None = None,
     ) -> None:
-        """Apply the changes that a peer sent because this balancer lacks them."""
-        self.apply_heartbeat(heartbeat, now)
+        """Apply the changes that a peer sent because this balancer lacks them.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            Heartbeat that came with the changes.
+        difference : Difference
+            The changes.
+        now : Millis
+            Current time.
+        requested_at : Millis or None
+            When the changes were requested, so that the response is not older; if it
+            is None the response confirms the ownership of no cold server.
+        """
+        self.apply_heartbeat(heartbeat, now, is_response=True)
         if difference.revision == 0 or difference.version < self.replica.version:
             return
         self.apply_changes(difference, now)
         if self.replica.version == difference.version:
             self.confirm_replica(now - heartbeat.confirmed_age)
+            if requested_at is not None:
+                at = requested_at - heartbeat.confirmed_age
+                self.warm_up.confirmation.confirm(at)
 
     def route_packet(self, packet: Packet, now: Millis) -> ServerRow | Refused:
         """Return the backend server for a packet, or why it is refused."""
@@ -274,6 +384,7 @@
         now : Millis
             Current time, from a clock that also runs while the VM is suspended.
         """
+        self.warm_up.confirmation.note_running(now)
         last_tick_at, self._last_tick_at = self._last_tick_at, now
         if last_tick_at is None or now - last_tick_at <= MAX_TICK_GAP_MILLIS:
             return
@@ -299,9 +410,11 @@
     def remove_expired(self, now: Millis) -> None:
         """Remove expired entries from all tables; runs about once a second."""
         self.cluster_state.remove_lapsed(now)
+        self.cluster_state.end_kept_evacuations(now)
         for name in self.members.expire(now):
             self._on_event("member_silent", member=name)
         self.servers.expire(now)
+        self.warm_up.expire(now)
         self._response_monitor.expire_verdicts(now)
         if self._contention is not None:
             n_live = len(self.members.live(now))
@@ -317,7 +430,11 @@
         self, packet: Packet, flow: FlowRow | None, now: Millis
     ) -> ServerRow | Refused:
         if flow is not None and flow.is_established:
-            return flow.server
+            if self.servers.is_evacuated(flow.server):
+                # Its caller needs no answer; one that reuses the port tries again.
+                self.counters["openings_of_evacuated_flows"] += 1
+                return POSSIBLY_OPEN
+            return self._repeat_opening(flow, now)
         if not self.is_ready:
             return NOT_READY
         if now < self._drop_openings_until:
@@ -336,6 +453,7 @@
         if isinstance(server, Refused):
             return self._refuse_opening(packet, flow, server, now)
         self._deferred.forget(packet.key)
+        self.warm_up.note_opening(server, now)
         if flow is None:
             self._open(packet, server, now)
         else:
@@ -358,6 +476,22 @@
             self._deferred.note_deferred(packet.key, n_retransmissions, now)
         return reason
 
+    def _repeat_opening(self, flow: FlowRow, now: Millis) -> ServerRow | Refused:
+        """Return the server for the repeated opening of an established flow.
+
+        Its caller has seen the answer, so nothing is lost if a cold server, which may
+        have started again meanwhile, does not get it.
+        """
+        current = self.servers.get(flow.server.name) or flow.server
+        if not self.warm_up.try_forward(current, now):
+            return POSSIBLY_OPEN
+        return flow.server
+
+    def _n_servers(self, service: str, now: Millis) -> int:
+        """Return the number of a service's servers that may get openings."""
+        exclusion = self.warm_up.exclusion(service, now)
+        return self.servers.n_of_service(service, exclusion)
+
     def _service_time(self, service: str) -> float | None:
         """Return a service's time in ms without the round trip, or None if unknown."""
         millis = self._response_monitor.service_time(service)
@@ -399,6 +533,7 @@
             server=server.name,
             service=server.entry.service,
             data_centre=server.entry.data_centre,
+            opened_in=self._own_data_centre,
             n_open=server.n_open,
             peer_load=round(server.peer_load, 2),
             is_suspect=self.is_suspect(server, now),
@@ -446,6 +581,10 @@
         waited_millis = now - flow.sent_at if len(flow.tried_servers) == 1 else None
         if waited_millis is not None:
             self.follow_up_times.observe(waited_millis)
+            if self.remote_traffic is not None:
+                self.remote_traffic.note_follow_up(flow.server, waited_millis)
+        was_silent = flow.server.n_silent > 0
+        self.warm_up.cold_servers.note_answer(flow.server, now, was_silent=was_silent)
         if self._silence_detector.note_follow_up(flow.server, waited_millis, now):
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.establish(flow)
@@ -466,6 +605,8 @@
                 n_silent=silent.n_silent,
                 heard_age_ms=now - silent.record_received_at,
             )
+        cut_off_until = self._silence_detector.cut_off_until(silent.entry.data_centre)
+        self.warm_up.cold_servers.note_silence(silent, cut_off_until, now)
         if len(flow.tried_servers) >= MAX_SERVERS_TRIED or flow.opening is None:
             return None
         server = self._placement.select(
@@ -476,6 +617,7 @@
         )
         if not isinstance(server, ServerRow) or server in flow.tried_servers:
             return None
+        self.warm_up.note_opening(server, now)
         self.counters["openings_tried_again"] += 1
         self._on_event(
             "opening_tried_again",
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -25,10 +25,11 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.load_reports import MAX_ROWS, LoadRow
 from stoattray_core.steering.replica import Difference, Record, Version
 from tests.steering_builders import heartbeat, member_entry
 
-N_FIELDS_BEFORE_CUT_OFFS = 12
+N_FIELDS_BEFORE_CUT_OFFS = 13
 
 ANY_VALUE = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.text() | st.binary(),
@@ -53,9 +54,25 @@
         self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
 
     def test_heartbeat_without_cut_offs_is_that_of_an_older_release(self):
-        row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
+        rows = (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)
+        row = msgpack.unpackb(encode_heartbeat(heartbeat(load_rows=rows)))
         self.assertEqual(len(row), N_FIELDS_BEFORE_CUT_OFFS)
 
+    def test_heartbeat_with_cut_offs_is_read_by_earlier_releases(self):
+        """Guards against cut-offs that take the place of loads, or move fields."""
+        cut_offs = (CutOffReport("lookup", 2, 250, 40),)
+        for rows in ((), (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)):
+            with self.subTest(rows):
+                sent = heartbeat(load_rows=rows, cut_offs=cut_offs)
+                row = msgpack.unpackb(encode_heartbeat(sent))
+                self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
+                older = decode_heartbeat(msgpack.packb(row[:N_FIELDS_BEFORE_CUT_OFFS]))
+                self.assertEqual(older, heartbeat(load_rows=rows))
+                self.assertEqual(
+                    row[:12], msgpack.unpackb(encode_heartbeat(heartbeat()))
+                )
+                self.assertEqual(row[12] == [], not rows)
+
     def test_cut_offs_take_few_bytes(self):
         sent = heartbeat(cut_offs=(CutOffReport("partida", 2, 1_000, 1_000),))
         n_bytes = len(encode_heartbeat(sent)) - len(encode_heartbeat(heartbeat()))
@@ -65,9 +82,56 @@
         row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
         for cut_off in (["lookup"], [5, 1, 1, 1], ["lookup", -1, 1, 1], 7):
             with self.subTest(cut_off):
-                refused = decode_heartbeat(msgpack.packb([*row, [cut_off]]))
+                refused = decode_heartbeat(msgpack.packb([*row, [], [cut_off]]))
                 self.assertEqual(refused.kind, ErrorKind.MESSAGE_MALFORMED)
 
+    def test_heartbeat_with_loads(self):
+        sent = heartbeat(
+            load_rows=(
+                LoadRow("luzon-a", "lookup", 12.3, 29.2, 250),
+                LoadRow("luzon-a", "archive", 0.0, 10.0, 0),
+                LoadRow("luzon-b", "lookup", 40.0, 30.0, 900),
+            )
+        )
+        self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
+
+    def test_heartbeat_without_loads_is_that_of_earlier_releases(self):
+        """Guards against traffic and fields where the settings do not ask for them."""
+        row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
+        self.assertEqual(len(row), 12)
+
+    def test_heartbeat_with_loads_is_read_by_earlier_releases(self):
+        """Guards against a field that moves the ones in front of it."""
+        rows = (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)
+        with_loads = msgpack.unpackb(encode_heartbeat(heartbeat(load_rows=rows)))
+        self.assertEqual(
+            with_loads[:12], msgpack.unpackb(encode_heartbeat(heartbeat()))
+        )
+
+    def test_malformed_loads_are_refused(self):
+        row = msgpack.unpackb(encode_heartbeat(heartbeat()))
+        for loads in (
+            5,
+            [["luzon-a", ["lookup", -1, 2, 3]]],
+            [["luzon-a", ["lookup", 1.5, 2, 3]]],
+            [["luzon-a", [7, 1, 2, 3]]],
+            [[7, ["lookup", 1, 2, 3]]],
+            [["luzon-a", ["lookup", 1]]],
+        ):
+            with self.subTest(loads=loads):
+                decoded = decode_heartbeat(msgpack.packb([*row, loads]))
+                self.assertIsInstance(decoded, Refused)
+
+    def test_sixteen_rows_of_load_stay_small(self):
+        """Guards against control traffic that grows: 17 of them are sent a second."""
+        rows = tuple(
+            LoadRow(f"data-centre-{n // 2}", f"service{n % 2}a", 123.4, 60.0, 2_900)
+            for n in range(MAX_ROWS)
+        )
+        n_bytes = len(encode_heartbeat(heartbeat(load_rows=rows)))
+        n_added = n_bytes - len(encode_heartbeat(heartbeat()))
+        self.assertLess(n_added, 450)
+
     def test_difference(self):
         sent = Difference(7, [Record("a", 7, b"x"), Record("b", 6, None)], True)
         data = encode_difference(heartbeat(), sent, may_compress=False)
@@ -103,9 +167,12 @@
         self.assertEqual(decode_sync_request(data), request)
 
     def test_field_of_a_later_version_is_ignored(self):
-        sent = heartbeat(cut_offs=(CutOffReport("lookup", 2, 250, 40),))
-        row = msgpack.unpackb(encode_heartbeat(sent), strict_map_key=False)
-        self.assertEqual(decode_heartbeat(msgpack.packb([*row, "new"])), sent)
+        cut_offs = (CutOffReport("lookup", 2, 250, 40),)
+        for rows in ((), (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)):
+            with self.subTest(rows):
+                sent = heartbeat(load_rows=rows, cut_offs=cut_offs)
+                row = msgpack.unpackb(encode_heartbeat(sent), strict_map_key=False)
+                self.assertEqual(decode_heartbeat(msgpack.packb([*row, "new"])), sent)
 
     def test_other_format_version_is_refused(self):
         row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
--- a/tests/core/steering/test_contention.py
+++ b/tests/core/steering/test_contention.py
@@ -3,12 +3,23 @@
 import unittest
 from collections import Counter
 from random import Random
+from unittest import mock
 
 from stoattray_core.steering.admission import AdmissionControl
 from stoattray_core.steering.contention import Contention, ContentionSettings
 from stoattray_core.steering.cut_offs import CutOffReport
+from stoattray_core.steering.entries import Evacuation, WarmUp
+from stoattray_core.steering.reserve import reserved_places
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
 from tests.core.steering.test_priority_levels import route
-from tests.steering_builders import START_MILLIS, configuration, server_row
+from tests.steering_builders import (
+    START_MILLIS,
+    Balancer,
+    configuration,
+    heartbeat,
+    server_entry,
+    server_row,
+)
 
 TARGET_MILLIS = 600
 SERVICE_MILLIS = 22.0
@@ -36,7 +47,7 @@
         self.contention = Contention(
             ContentionSettings(),
             configuration=lambda: self.configuration,
-            n_servers=lambda service: 1,
+            n_servers=lambda service, now: 1,
             counters=self.counters,
             random=Random(1),
         )
@@ -195,3 +206,50 @@
         )
         self.offer(10, n_pending=5)
         self.assertEqual(self.contention.cut_offs(), {})
+
+
+class UsableServersTest(unittest.TestCase):
+    """What the reserve takes for the servers of a service."""
+
+    def n_servers(self, balancer, destination):
+        """Offer an opening of the lower level; return the servers that counted."""
+        with mock.patch(
+            "stoattray_core.steering.contention.reserved_places",
+            side_effect=reserved_places,
+        ) as reserve:
+            balancer.open(destination=destination)
+        return [call.kwargs["n_servers"] for call in reserve.call_args_list]
+
+    def test_reserve_counts_neither_evacuated_nor_withheld_servers(self):
+        """Guards against a reserve that is too small for the servers that are left.
+
+        The highest level then finds their queues full of lower levels.
+        """
+        routes = {
+            level: route(level, port=level + 1, target_latency_millis=TARGET_MILLIS)
+            for level in (1, 2)
+        }
+        balancer = Balancer(
+            contention=ContentionSettings(), warm_up_bounds=WarmUpBounds(1.0, 0.0)
+        )
+        balancer.declare(
+            configuration(
+                routes={item.destination: item for item in routes.values()},
+                warm_ups={"lookup": WarmUp(2_000, 0.0)},
+            ),
+            server_entry("i-01"),
+            server_entry("i-02", data_centre="luzon-b"),
+            server_entry("i-03", data_centre="luzon-b"),
+        )
+        balancer.steering.apply_heartbeat(
+            heartbeat(
+                pending_requests={row.cookie: 4 for row in balancer.steering.servers}
+            ),
+            balancer.now,
+        )
+        destination = routes[2].destination
+        self.assertEqual(self.n_servers(balancer, destination), [3])
+        balancer.declare(server_entry("i-04", warmup_remaining_millis=2_000))
+        self.assertEqual(self.n_servers(balancer, destination), [3])
+        balancer.declare(Evacuation("luzon-b"))
+        self.assertEqual(self.n_servers(balancer, destination), [1])
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -9,15 +9,18 @@
     BackendServerEntry,
     Configuration,
     Entry,
+    Evacuation,
     MemberEntry,
     RequestKind,
     Route,
 )
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.replica import Difference, Record, Version
 from stoattray_core.steering.servers import ServerRow
 from stoattray_core.steering.steering import Steering
+from stoattray_core.steering.warm_up_budget import WarmUpBounds
 
 LOOKUP_DESTINATION = b"\xc6\x12\x00\x01\x20\xfb"
 UNKNOWN_DESTINATION = b"\xc6\x12\x00\x09\x20\xfb"
@@ -48,24 +51,38 @@
 
 
 class EntryDecoder:
-    """Decoder of records whose value is the index of a stored entry."""
+    """Decoder of records whose value is the index of a stored entry.
+
+    The key alone decides for evacuations; their value is always the same, as on the
+    users' platform.
+    """
 
     def __init__(self) -> None:
         self._entries: list[Entry | Refused] = []
 
     def record(self, key: str, revision: int, entry: Entry | Refused) -> Record:
         """Return a record that decodes to `entry`."""
+        if isinstance(entry, Evacuation):
+            return Record(key, revision, b"{}")
         self._entries.append(entry)
         return Record(key, revision, str(len(self._entries) - 1).encode())
 
     def decode(self, record: Record) -> Entry | Refused | None:
         """Return the entry of a record."""
+        data_centre = self.evacuated_data_centre(record.key)
+        if data_centre is not None:
+            return Evacuation(data_centre)
         return self._entries[int(record.value or b"")]
 
     def backend_server_name(self, key: str) -> str | None:
         """Return the name of the server whose record has this key."""
         return key.removeprefix("servers/") if key.startswith("servers/") else None
 
+    def evacuated_data_centre(self, key: str) -> str | None:
+        """Return the data centre whose evacuation has this key."""
+        prefix = "evacuations/"
+        return key.removeprefix(prefix) or None if key.startswith(prefix) else None
+
 
 def server_entry(name: str = "i-01", **changes: object) -> BackendServerEntry:
     """Return a warm, ready backend server of the lookup service."""
@@ -143,6 +160,10 @@
         Seed of its random choices.
     decoder : EntryDecoder or None
         Decoder of the store's records; a new one by default.
+    warm_up_bounds : WarmUpBounds or None
+        Allowance for cold servers; None if openings for them are not limited.
+    remote_traffic : RemoteTrafficSettings or None
+        Limits the traffic between data centres.
     contention : ContentionSettings or None
         Switches the order of refusal by priority levels on.
     """
@@ -153,6 +174,8 @@
         data_centre: str = "luzon-a",
         seed: float = 1,
         decoder: EntryDecoder | None = None,
+        warm_up_bounds: WarmUpBounds | None = None,
+        remote_traffic: RemoteTrafficSettings | None = None,
         contention: ContentionSettings | None = None,
     ) -> None:
         self.now = START_MILLIS
@@ -166,8 +189,12 @@
             random=Random(seed),
             on_event=self.recorder,
             contention=contention,
+            warm_up_bounds=warm_up_bounds,
+            remote_traffic=remote_traffic,
         )
         self.contention = contention
+        self._warm_up_bounds = warm_up_bounds
+        self._remote_traffic = remote_traffic
         self._revision = 0
 
     def restarted(self, seed: float) -> "Balancer":
@@ -177,7 +204,9 @@
             self.own.data_centre,
             seed,
             self.decoder,
-            self.contention,
+            contention=self.contention,
+            warm_up_bounds=self._warm_up_bounds,
+            remote_traffic=self._remote_traffic,
         )
         balancer.now = self.now
         balancer._revision = self._revision
@@ -185,7 +214,7 @@
         balancer.steering.apply_changes(
             self.steering.replica.changes_since(Version(0, 0)), self.now
         )
-        balancer.steering.confirm_replica(self.now)
+        balancer.steering.confirm_by_snapshot(self.now)
         return balancer
 
     def declare(self, *entries: Entry | Refused, key: str | None = None) -> None:
@@ -198,13 +227,22 @@
 
     def remove(self, name: str) -> None:
         """Apply the deletion of a backend server's record from the store."""
+        self.remove_key(f"servers/{name}")
+
+    def remove_key(self, key: str) -> None:
+        """Apply the deletion of a record from the store."""
+        self._revision += 1
+        self.apply_record(Record(key, self._revision, None))
+
+    def next_revision(self) -> int:
+        """Return the revision of the next record from the store."""
         self._revision += 1
-        self.apply_record(Record(f"servers/{name}", self._revision, None))
+        return self._revision
 
     def apply_record(self, record: Record) -> None:
         """Apply one record from the store."""
         self.steering.store_health.note_response(self.now)
-        self.steering.confirm_replica(self.now)
+        self.steering.confirm_by_snapshot(self.now)
         self.steering.apply_changes(
             Difference(record.revision, [record], False), self.now
         )
@@ -256,6 +294,10 @@
 def _key(entry: Entry | Refused) -> str:
     if isinstance(entry, Configuration):
         return "configuration"
+    if isinstance(entry, MemberEntry):
+        return f"members/{entry.name}"
     if isinstance(entry, BackendServerEntry):
         return f"servers/{entry.name}"
+    if isinstance(entry, Evacuation):
+        return f"evacuations/{entry.data_centre}"
     return "members/x"
