core: split steering by job

Change: peer_state.py builds and applies reports, openings.py handles first, repeated and retried openings, opening_log.py logs them; Steering keeps its public methods.

--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -40,13 +40,13 @@
     cut_offs,
     load_reports,
     locality,
+    openings,
     peer_reports,
     remote_traffic,
     response_times,
     server_selector,
     servers,
     split_table,
-    steering,
 )
 from stoattray_core.steering.data_centre_speeds import DataCentreSpeeds
 from stoattray_core.steering.locality import ServiceLoad
@@ -102,7 +102,7 @@
     },
     "deferral of whatever has time": {(contention, "MIN_FORECAST_SHARE"): -1.0},
     "requests pending for 1.5 s": {
-        (steering, "PENDING_TARGETS"): steering.UNANSWERED_MILLIS
+        (openings, "PENDING_TARGETS"): openings.UNANSWERED_MILLIS
     },
 }
 
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -7,8 +7,8 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering import cookies
 from stoattray_core.steering.entries import RequestKind, Route
+from stoattray_core.steering.openings import MAX_SERVERS_TRIED
 from stoattray_core.steering.replica import Difference
-from stoattray_core.steering.steering import MAX_SERVERS_TRIED
 from tests.steering_builders import (
     LOOKUP_DESTINATION,
     UNKNOWN_DESTINATION,
