--- a/tests/core/steering/test_contention.py
+++ b/tests/core/steering/test_contention.py
@@ -134,7 +134,7 @@
         self.configuration = configuration(
             routes={**self.configuration.routes, unused.destination: unused}
         )
-        self.offer(USED_MILLIS, n_pending=0)
+        self.offer(USED_MILLIS + 100, n_pending=0)
         self.contention.expire(self.now, n_balancers=1)
         self.offer(1_000, n_pending=9)
         self.server.n_pending_requests = 3
