--- a/deploy/tests/test_settings_template.py
+++ b/deploy/tests/test_settings_template.py
@@ -4,9 +4,11 @@
 import re
 import tempfile
 import unittest
+from itertools import combinations
 from pathlib import Path
 
 from stoattray_balancer.steering.settings import load_steering_settings
+from stoattray_core.steering.contention import ContentionSettings
 from stoattray_core.steering.warm_up_budget import WarmUpBounds
 
 TEMPLATE = Path(__file__).parents[1] / "settings.json"
@@ -22,6 +24,7 @@
     "bounds.flow_ttl_s": 60,
     "bounds.grace_period_s": 6,
 }
+OPTIONAL_BOUNDS = {"evacuation_ms": 5_000, "warmup_overage": 1.5, "warmup_slack": 5}
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 NAME = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
@@ -45,11 +48,14 @@
 class SettingsTemplateTest(unittest.TestCase):
     """Rendered settings."""
 
-    def load(self, **bounds):
+    def render(self, **bounds):
         values = VALUES | {f"bounds.{name}": value for name, value in bounds.items()}
+        return render(TEMPLATE.read_text(), values)
+
+    def load(self, **bounds):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "settings.json")
-            path.write_text(render(TEMPLATE.read_text(), values))
+            path.write_text(self.render(**bounds))
             return load_steering_settings(str(path))
 
     def test_without_the_figures_there_is_no_limit(self):
@@ -60,3 +66,26 @@
         """Guards against figures that do not reach the settings."""
         settings = self.load(warmup_overage=1.5, warmup_slack=5)
         self.assertEqual(settings.warm_up_bounds, WarmUpBounds(1.5, 5.0))
+
+    def test_contention_is_on_only_where_data_centres_are_evacuated(self):
+        """Guards against an order of refusal that a deployment did not ask for."""
+        self.assertNotIn("contention", json.loads(self.render()))
+        self.assertIsNone(self.load().contention)
+        self.assertEqual(json.loads(self.render(evacuation_ms=5_000))["contention"], {})
+        settings = self.load(evacuation_ms=5_000)
+        self.assertEqual(settings.contention, ContentionSettings())
+
+    def test_every_combination_of_optional_figures_is_read(self):
+        """Guards against a comma that is missing, or too many, without a figure.
+
+        The settings are refused if only one figure of the warm-up limit is present.
+        """
+        for n_present in range(len(OPTIONAL_BOUNDS) + 1):
+            for names in combinations(OPTIONAL_BOUNDS, n_present):
+                bounds = {name: OPTIONAL_BOUNDS[name] for name in names}
+                with self.subTest(names):
+                    values = json.loads(self.render(**bounds))
+                    self.assertEqual("contention" in values, "evacuation_ms" in names)
+                    self.assertEqual(values["remote_traffic"], {"min_round_trip_ms": 4})
+                    if ("warmup_overage" in names) == ("warmup_slack" in names):
+                        self.load(**bounds)
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -15,6 +15,7 @@
 from stoattray_balancer.steering._frames import MAX_FRAME_BYTES
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.load_reports import MAX_ROWS, LoadRow
@@ -52,12 +53,19 @@
         heartbeat.failing_cookies,
         heartbeat.first_reader,
         heartbeat.era,
+        *_appended_fields(heartbeat),
     ]
-    if heartbeat.load_rows:
-        row.append(_pack_load_rows(heartbeat.load_rows))
     return msgpack.packb(row)
 
 
+def _appended_fields(heartbeat: Heartbeat) -> list[Any]:
+    """Return the trailing fields, without those at the end that have their default."""
+    fields: list[Any] = [_pack_load_rows(heartbeat.load_rows), heartbeat.cut_offs]
+    while fields and not fields[-1]:
+        del fields[-1]
+    return fields
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat | Refused:
     """Return the heartbeat in a datagram, or why it is refused."""
     try:
@@ -77,6 +85,7 @@
         first_reader = row[10] if len(row) > 10 else None
         era = row[11] if len(row) > 11 else 0
         load_rows = row[12] if len(row) > 12 else ()
+        cut_offs = row[13] if len(row) > 13 else ()
         if version != FORMAT_VERSION:
             return Refused(
                 ErrorKind.MESSAGE_BAD_VERSION, f"unsupported version {version!r}"
@@ -97,6 +106,7 @@
             first_reader=None if first_reader is None else _read_reader(first_reader),
             era=_read_number(era),
             load_rows=_read_load_rows(load_rows),
+            cut_offs=tuple(_read_cut_off(cut_off) for cut_off in cut_offs),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
@@ -214,6 +224,18 @@
     return name, _read_number(age)
 
 
+def _read_cut_off(row: Any) -> CutOffReport:
+    service, level, share_permille, age, *_ = row
+    if not isinstance(service, str):
+        raise TypeError("service of a cut-off must be a string")
+    return CutOffReport(
+        service,
+        _read_number(level),
+        _read_number(share_permille),
+        _read_number(age),
+    )
+
+
 def _pack_load_rows(rows: tuple[LoadRow, ...]) -> list[list[Any]]:
     """Return rows by data centre, so that its name is sent once."""
     packed: dict[str, list[Any]] = {}
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -239,6 +239,7 @@
                 now, confirmed_age if is_reader else None
             ),
             load_rows=steering.load_rows(now) if includes_load else (),
+            cut_offs=steering.cut_off_reports(now),
         )
 
     def _send_heartbeats(self, *, include_remote: bool) -> None:
--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -20,11 +20,17 @@
 ones the queues.
 """
 
+import math
 from random import Random
 from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.entries import Route
+from stoattray_core.steering.priority_order import (
+    Contender,
+    PriorityOrder,
+    Refusal,
+)
 from stoattray_core.steering.servers import ServerRow
 
 MAX_LATENCY_RATIO = 1.0
@@ -92,6 +98,8 @@
         Probability of a refusal by the controller.
     is_deferred : bool
         Whether the caller is to retransmit the opening.
+    refusal : Refusal or None
+        Priority level and cut-off; None if the service has no levels.
     """
 
     server: ServerRow
@@ -100,6 +108,7 @@
     response_millis: float
     probability: float
     is_deferred: bool = False
+    refusal: Refusal | None = None
 
 
 class _ResponseTime:
@@ -165,10 +174,13 @@
     ----------
     random : Random
         Draws the openings to refuse.
+    order : PriorityOrder or None
+        Replaces the draw for services with priority levels; None if it is off.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, order: PriorityOrder | None = None) -> None:
         self._random = random
+        self._order = order
         self._response_times: dict[str, _ResponseTime] = {}
         self._controllers: dict[bytes, _Controller] = {}
         self._recovering_until: Millis = 0
@@ -177,9 +189,39 @@
         """Note that this balancer begins to forward packets."""
         self._recovering_until = now + RECOVERY_MILLIS
 
-    def note_response(self, service: str, waited_millis: Millis, now: Millis) -> None:
-        """Note a response of a service, `waited_millis` after its request."""
-        self._response_time(service).add(waited_millis, now)
+    def note_response(
+        self,
+        service: str,
+        waited_millis: Millis,
+        now: Millis,
+        *,
+        destination: bytes = b"",
+        is_fast: bool = False,
+        is_refused: bool = False,
+    ) -> None:
+        """Note a response of a service.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        waited_millis : Millis
+            Time from the request to its response.
+        now : Millis
+            Current time.
+        destination : bytes
+            Destination of the flow.
+        is_fast : bool
+            Whether the response came too fast for a request that was served.
+        is_refused : bool
+            Whether it did so at a server with a queue, which most likely refused it.
+        """
+        if not is_fast:
+            self._response_time(service).add(waited_millis, now)
+        if self._order is not None:
+            self._order.note_response(
+                service, destination, waited_millis, now, is_refused=is_refused
+            )
 
     def check(
         self,
@@ -189,6 +231,8 @@
         now: Millis,
         *,
         is_retransmission: bool = False,
+        n_retransmissions: int = 0,
+        caller: bytes = b"",
     ) -> Overload | None:
         """Return why an opening has to be refused, or None if it is admitted.
 
@@ -204,11 +248,25 @@
             Current time.
         is_retransmission : bool
             Whether the caller has sent the opening before.
+        n_retransmissions : int
+            How often; only needed with priority levels.
+        caller : bytes
+            Address of the caller; only needed with priority levels.
         """
+        service = server.entry.service
+        if self._order is not None:
+            self._order.note_opening(service, route, now)
+        if self._order is not None and self._order.applies(service):
+            return self._check_levels(
+                self._order,
+                Contender(server, route, service_time, n_retransmissions, caller),
+                now,
+                is_retransmission=is_retransmission,
+            )
         target = route.target_latency_millis
         if not target:
             return None
-        response_time = self._response_time(server.entry.service)
+        response_time = self._response_time(service)
         controller = self._controllers.get(route.destination)
         if controller is None:
             controller = self._controllers[route.destination] = _Controller(now)
@@ -218,14 +276,9 @@
                 MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
             )
             return _check_queue(server, target, max_per_slot, now)
-        capacity = server.capacity(now)
-        n_reported = server.n_pending_requests + server.n_peer_requests + 1
-        if n_reported <= MAX_UNREFUSED_PER_SLOT * capacity:
+        if not _has_queue(server, now):
             return None
-        expected = None
-        if service_time is not None:
-            n_certain = server.n_certain_requests + 1
-            expected = n_certain * service_time * server.slowdown / capacity
+        expected = _expected_millis(server, service_time, now)
         ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
         is_late = expected is not None and expected > ratio * target
         if not is_late and self._random.random() >= controller.probability:
@@ -238,6 +291,60 @@
             controller.probability,
         )
 
+    def _check_levels(
+        self,
+        order: PriorityOrder,
+        contender: Contender,
+        now: Millis,
+        *,
+        is_retransmission: bool,
+    ) -> Overload | None:
+        """Return why an opening of a service with priority levels is refused."""
+        order.note_offered(contender, now)
+        overload = self._find_level_overload(
+            order, contender, now, is_retransmission=is_retransmission
+        )
+        if overload is None:
+            order.note_admitted(contender, now)
+        else:
+            order.note_refused(contender, is_deferred=overload.is_deferred)
+        return overload
+
+    def _find_level_overload(
+        self,
+        order: PriorityOrder,
+        contender: Contender,
+        now: Millis,
+        *,
+        is_retransmission: bool,
+    ) -> Overload | None:
+        server, route = contender.server, contender.route
+        target = route.target_latency_millis
+        if target and now < self._recovering_until and may_wait(route):
+            max_per_slot = (
+                MAX_LATE_PER_SLOT if is_retransmission else MAX_UNREFUSED_PER_SLOT
+            )
+            return _check_queue(server, target, max_per_slot, now)
+        if not order.has_queue(contender, now):
+            return None
+        expected = _expected_millis(server, contender.service_time, now)
+        ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
+        max_millis = ratio * target if target else math.inf
+        refusal = order.check(contender, now)
+        if refusal is None and expected is not None and expected > max_millis:
+            refusal = order.explain(contender, now)
+        if refusal is None:
+            return None
+        return Overload(
+            server,
+            expected,
+            max_millis,
+            self._response_time(server.entry.service).millis,
+            0.0,
+            is_deferred=order.may_defer(contender, now),
+            refusal=refusal,
+        )
+
     def _response_time(self, service: str) -> _ResponseTime:
         response_time = self._response_times.get(service)
         if response_time is None:
@@ -251,6 +358,22 @@
     return None not in (timeout, target) and timeout >= OPENING_MILLIS + target
 
 
+def _has_queue(server: ServerRow, now: Millis) -> bool:
+    """Return whether a server has a queue, by the latest reports."""
+    n_reported = server.n_pending_requests + server.n_peer_requests + 1
+    return n_reported > MAX_UNREFUSED_PER_SLOT * server.capacity(now)
+
+
+def _expected_millis(
+    server: ServerRow, service_time: float | None, now: Millis
+) -> float | None:
+    """Return the expected response time; None if the service time is unknown."""
+    if service_time is None:
+        return None
+    n_certain = server.n_certain_requests + 1
+    return n_certain * service_time * server.slowdown / server.capacity(now)
+
+
 def _check_queue(
     server: ServerRow, target: Millis, max_per_slot: float, now: Millis
 ) -> Overload | None:
--- a/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.replica import Version
@@ -44,6 +45,8 @@
     load_rows : tuple of LoadRow
         Newest known loads of data centres; empty unless the sender's settings limit the
         traffic between data centres.
+    cut_offs : tuple of CutOffReport
+        Cut-offs between priority levels that it measured, of services in contention.
     """
 
     member: MemberEntry
@@ -58,6 +61,7 @@
     first_reader: tuple[str, Millis] | None = None
     era: int = 0
     load_rows: tuple[LoadRow, ...] = ()
+    cut_offs: tuple[CutOffReport, ...] = ()
 
     @property
     def version(self) -> Version:
--- a/packages/stoattray-core/src/stoattray_core/steering/round_trips.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/round_trips.py
@@ -7,7 +7,7 @@
 from collections import deque
 
 from stoattray_core._identifiers import Millis
-from stoattray_core.steering._median import median
+from stoattray_core.steering.averages import median
 
 N_SAMPLES = 15
 """Latest follow-up times that a median is taken of. A single late packet hardly changes
@@ -36,7 +36,7 @@
         samples = self._samples.setdefault(data_centre, deque(maxlen=N_SAMPLES))
         samples.append(waited_millis)
         if len(samples) >= N_FIRST_SAMPLES:
-            self._medians[data_centre] = float(median(samples))
+            self._medians[data_centre] = median(samples)
 
     def follow_up_millis(self, data_centre: str) -> float:
         """Return the median time to a follow-up in ms; 0 if not measured."""
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -66,6 +66,8 @@
         Open flows that this balancer opened there.
     n_half_open : int
         Of these, flows whose opening has no follow-up yet.
+    n_idle : int
+        Of these, flows whose last request was answered.
     n_pending_requests : int
         Of the open flows, those with a pending request.
     n_peer_requests : int
@@ -88,6 +90,7 @@
         "last_sample_at",
         "maybe_cold_until",
         "n_half_open",
+        "n_idle",
         "n_open",
         "n_peer_requests",
         "n_pending_requests",
@@ -119,6 +122,7 @@
         self.n_silent = 0
         self.n_open = 0
         self.n_half_open = 0
+        self.n_idle = 0
         self.n_pending_requests = 0
         self.n_peer_requests = 0
         self.peer_load = 0.0
@@ -223,10 +227,23 @@
         """Return a service's servers in this data centre, draining ones included."""
         return self._local.get(service, [])
 
-    def n_of_service(self, service: str) -> int:
-        """Return the number of servers of a service, without evacuated ones."""
+    def n_of_service(
+        self, service: str, is_excluded: Callable[[ServerRow], bool] | None = None
+    ) -> int:
+        """Return the number of servers of a service, without evacuated ones.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        is_excluded : callable or None
+            Tells which servers to leave out.
+        """
         local, remote = self._usable_rows(service)
-        return len(local) + len(remote)
+        n_excluded = 0
+        if is_excluded is not None:
+            n_excluded = sum(is_excluded(row) for row in [*local, *remote])
+        return len(local) + len(remote) - n_excluded
 
     def is_saturated(self, service: str, now: Millis) -> bool:
         """Return whether the local servers of a service have more flows than slots."""
--- a/packages/stoattray-core/src/stoattray_core/steering/service_times.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/service_times.py
@@ -5,7 +5,7 @@
 """
 
 from stoattray_core._identifiers import Millis
-from stoattray_core.steering._median import median
+from stoattray_core.steering.averages import median
 
 N_FIRST_SAMPLES = 20
 """Responses of a service before its service time is used."""
--- a/tests/core/steering/test_servers.py
+++ b/tests/core/steering/test_servers.py
@@ -141,6 +141,20 @@
         evacuations.begin("luzon-a", 1)
         self.assertEqual(table.n_of_service("lookup"), 1)
 
+    def test_number_of_servers_leaves_out_excluded_ones(self):
+        """Guards against an evacuated server that is left out twice."""
+        evacuations = Evacuations()
+        table = ServerTable(FLOW_LIFE_MILLIS, "luzon-a", evacuations)
+        for name, data_centre in (
+            ("i-01", "luzon-a"),
+            ("i-02", "luzon-a"),
+            ("i-03", "luzon-b"),
+        ):
+            table.put(server_entry(name, data_centre=data_centre), START_MILLIS)
+        evacuations.begin("luzon-b", 1)
+        n_left = table.n_of_service("lookup", lambda row: row.name in ("i-02", "i-03"))
+        self.assertEqual(n_left, 1)
+
     def test_candidates_follow_each_change_during_an_evacuation(self):
         """Guards against a kept list that misses a server, a removal or an end."""
         evacuations = Evacuations()
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -15,6 +15,7 @@
 
 from stoattray_core._errors import ERROR_RESPONSES, PacketResponse
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.contention import ContentionSettings
 from stoattray_core.steering.entries import RequestKind, Route
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.locality import RemoteTrafficSettings
@@ -158,6 +159,8 @@
         Seed of all random choices.
     workload : Workload
         Requests and the hosts' capacity.
+    contention : ContentionSettings or None
+        Switches the order of refusal by priority levels on at all balancers.
     warm_up_bounds : WarmUpBounds or None
         Allowance for cold hosts; None if openings for them are not limited.
     layout : Layout
@@ -171,6 +174,7 @@
         n_balancers: int = 2,
         seed: int = 1,
         workload: Workload | None = None,
+        contention: ContentionSettings | None = None,
         warm_up_bounds: WarmUpBounds | None = None,
         layout: Layout | None = None,
     ) -> None:
@@ -185,6 +189,7 @@
                     f"edge-{data_centre[-1]}{n}",
                     data_centre,
                     self.random.random(),
+                    contention=contention,
                     warm_up_bounds=warm_up_bounds,
                     remote_traffic=self.layout.remote_traffic,
                 )
@@ -204,21 +209,32 @@
         self._n_scheduled = 0
         self._flows: dict[int, _Flow] = {}
         self.n_retrying = 0
-        route = Route(
-            "check",
-            LOOKUP_DESTINATION,
-            (("lookup", 1),),
-            RequestKind.IDEMPOTENT,
-            self.workload.target_millis,
-            timeout_millis=self.workload.deadline_millis,
+        self.declare(
+            configuration(routes={route.destination: route for route in self.routes()})
         )
-        self.declare(configuration(routes={route.destination: route}))
         if self.layout.samples_targets:
             self._discover_members()
         for data_centre in self.layout.data_centres:
             for _ in range(n_hosts):
                 self.add_host(data_centre)
 
+    def routes(self) -> list[Route]:
+        """Return the routes of the configuration."""
+        return [
+            Route(
+                "check",
+                LOOKUP_DESTINATION,
+                (("lookup", 1),),
+                RequestKind.IDEMPOTENT,
+                self.workload.target_millis,
+                timeout_millis=self.workload.deadline_millis,
+            )
+        ]
+
+    def packet_fields(self, flow: "_Flow") -> dict[str, object]:
+        """Return the fields of a flow's packets that differ from the defaults."""
+        return {}
+
     @property
     def capacity(self) -> float:
         """Return the number of flows per millisecond that all hosts can serve."""
@@ -393,6 +409,7 @@
                 revision=balancer.steering.replica.revision,
                 pending_requests=balancer.steering.pending_requests(),
                 failing_cookies=balancer.steering.failing_cookies(self.now),
+                cut_offs=balancer.steering.cut_off_reports(self.now),
                 load_rows=(
                     balancer.steering.load_rows(self.now) if is_remote_turn else ()
                 ),
@@ -501,7 +518,11 @@
 
     def _deliver_opening(self, n_retransmissions: int) -> None:
         """Route the opening packet at the balancer and forward it."""
-        packet = opening(self.port, n_retransmissions=n_retransmissions)
+        packet = opening(
+            self.port,
+            n_retransmissions=n_retransmissions,
+            **self.fleet.packet_fields(self),
+        )
         server = self.balancer.steering.route_packet(packet, self.fleet.now)
         if isinstance(server, Refused):
             self.fleet.refusals[server.kind] += 1
@@ -539,19 +560,24 @@
         if host.is_unresponsive:
             self.fleet.schedule(GIVE_UP_MILLIS, self._give_up)
             return
-        answered_at, is_served = host.serve(self.fleet.now, self.fleet.random)
+        answered_at, is_served = self.serve(host)
         wait = answered_at - self.fleet.now
         self.fleet.schedule(
             wait, lambda: self._finish_flow(cookie, is_served=is_served)
         )
 
+    def serve(self, host: Host) -> tuple[int, bool]:
+        """Queue the request; return when it is answered and whether it is served."""
+        return host.serve(self.fleet.now, self.fleet.random)
+
     def _finish_flow(self, cookie: int, *, is_served: bool) -> None:
         self._send_following(cookie)
         self._send_following(cookie, is_ending=True)
         self._end(is_served=is_served)
 
     def _send_following(self, cookie: int, **changes: object) -> None:
-        packet = following(self.port, cookie, **changes)
+        fields = {**self.fleet.packet_fields(self), **changes}
+        packet = following(self.port, cookie, **fields)
         delay = self.fleet.processing_delays.get(self.balancer.own.name, 0)
         self.fleet.schedule(
             delay,
