soak: evacuations of data centres, and servers that restart cold together

Cause: nothing outside the simulated fleet checked evacuations and the limit for cold servers, which depend on real processes, links and pauses.

Change: `--evacuations` adds evacuations, one or two at once, a data centre that is cut off during its evacuation, and joint restarts of its servers, about half of them under their id. Two invariants are checked at the backend servers by the kernel's time of arrival, since the harness reads late when it is busy: no opening outside fault windows later than 5 s after the request, and the warm-up limit in any sliding second, also during faults.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -31,6 +31,11 @@
         action="store_true",
         help="the store also returns from older copies",
     )
+    parser.add_argument(
+        "--evacuations",
+        action="store_true",
+        help="data centres are evacuated, and their servers restart cold together",
+    )
     parser.add_argument(
         "--replay", type=Path, help="report whose failing seeds are run again"
     )
@@ -45,6 +50,7 @@
             arguments.seconds,
             arguments.processes,
             has_restores=arguments.restores,
+            has_evacuations=arguments.evacuations,
         )
         if report["violations"]:
             report["logs"] = str(log_directory)
--- a/deploy/soak/backend_servers.py
+++ b/deploy/soak/backend_servers.py
@@ -8,12 +8,15 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import arrivals
 import gevent
 import packets
+from evacuations import Evacuations
 from gevent import socket
 from monitor import InvariantMonitor
 from packets import ACK, FIN, LABEL_BYTES, RST, SYN, Packet
 from store import SimulatedStore, encode_document
+from warm_up import WarmUpCheck
 
 N_SERVERS_BY_SERVICE = {"lookup": 5, "archive": 3}
 """Number of backend servers of each service at the start of a run."""
@@ -48,6 +51,10 @@
         Port at which callers receive packets.
     shared : SharedState
         State shared by all simulated components.
+    warm_up : WarmUpCheck or None
+        Checks the openings of a server that starts cold; None if it starts warm.
+    started_at_unix_ms : int
+        When it started, as in its record.
     """
 
     def __init__(
@@ -59,13 +66,17 @@
         *,
         caller_port: int,
         shared: "SharedState",
+        warm_up: WarmUpCheck | None = None,
+        started_at_unix_ms: int = 1,
     ) -> None:
         self.name = name
         self.service = service
+        self.data_centre = data_centre
         self.address = address
         self.draining_since: float | None = None
         self.processing_seconds = 0.02
-        self._data_centre = data_centre
+        self._warm_up = warm_up
+        self._started_at_unix_ms = started_at_unix_ms
         self._caller_port = caller_port
         self._shared = shared
         self._label = struct.pack(">Q", int(name.removeprefix("i-"), 16))
@@ -80,6 +91,7 @@
         """Receive packets and register in the store."""
         self._socket = socket.socket(sockets.AF_INET, sockets.SOCK_DGRAM)
         self._socket.bind(self.address)
+        arrivals.enable_timestamps(self._socket)
         self._shared.backend_servers[self.name] = self
         self._tasks = [gevent.spawn(self._receive), gevent.spawn(self._keep_registered)]
 
@@ -111,28 +123,45 @@
             is_current = item is not None and item.value == self._record
             if not store.faults.is_down and not is_current:
                 self._write_record()
+            if self._warm_up is not None:
+                self._warm_up.note_time(self._shared.monitor.elapsed_seconds)
             gevent.sleep(REGISTRATION_PERIOD_SECONDS)
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the server started recently."""
+        return self._warm_up_remaining_millis > 0
+
+    @property
+    def _warm_up_remaining_millis(self) -> int:
+        if self._warm_up is None:
+            return 0
+        return self._warm_up.remaining_millis(self._shared.monitor.elapsed_seconds)
+
     def _write_record(self) -> None:
         self._sequence += 1
         body = {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
-            "zone": self._data_centre,
+            "zone": self.data_centre,
             "version": "v1",
             "capacity": 2,
             "state": "ready" if self.draining_since is None else "draining",
-            "warmup_remaining_ms": 0,
+            "warmup_remaining_ms": self._warm_up_remaining_millis,
             "sequence": self._sequence,
-            "born": 1,
+            "born": self._started_at_unix_ms,
         }
         self._record = encode_document(body)
         self._shared.store.put(f"servers/{self.name}", self._record)
+        if self._warm_up is not None:
+            self._warm_up.note_record(self._shared.monitor.elapsed_seconds)
 
     def _receive(self) -> None:
         assert self._socket is not None
         while True:
-            data = self._socket.recv(2_048)
+            data, age_seconds = arrivals.receive(self._socket, 2_048)
+            if self.data_centre in self._shared.cut_off_data_centres:
+                continue
             label, payload = data[:LABEL_BYTES], data[LABEL_BYTES:]
             if label not in (self._label, bytes(LABEL_BYTES)):
                 self._shared.monitor.counts["dropped by label"] += 1
@@ -143,8 +172,20 @@
                     "packets unchanged", host=self.name
                 )
                 continue
+            if packet.flags & SYN:
+                arrived_at = self._shared.monitor.elapsed_seconds - age_seconds
+                self._check_opening(arrived_at)
             self._handle_packet(packet)
 
+    def _check_opening(self, arrived_at: float) -> None:
+        """Check the bounds that apply to each opening, also a repeated one."""
+        if self._shared.evacuations is not None:
+            self._shared.evacuations.check_opening(
+                self.name, self.data_centre, arrived_at
+            )
+        if self._warm_up is not None:
+            self._warm_up.note_opening(arrived_at)
+
     def _handle_packet(self, packet: Packet) -> None:
         flow = self._flows.get(packet.flow_key)
         self._shared.check_delivery(packet, self, is_known=flow is not None)
@@ -249,6 +290,14 @@
     flow_owners: dict[bytes, str] = field(default_factory=dict)
     n_misdelivered: dict[bytes, int] = field(default_factory=dict)
     n_executions: dict[str, int] = field(default_factory=dict)
+    evacuations: Evacuations | None = None
+    cut_off_data_centres: set[str] = field(default_factory=set)
+
+    def forget_flows(self, name: str) -> None:
+        """Forget the flows of a backend server that stopped and may start again."""
+        for key, owner in list(self.flow_owners.items()):
+            if owner == name:
+                del self.flow_owners[key]
 
     def check_delivery(
         self, packet: Packet, server: BackendServer, *, is_known: bool
--- a/deploy/soak/fleet.py
+++ b/deploy/soak/fleet.py
@@ -56,6 +56,8 @@
         Address of the store, the target of the store proxy.
     directory : Path
         Directory for settings and logs.
+    extra_settings : dict
+        Settings of the process beside those that each has.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         seeds: list[str],
         store: tuple[str, int],
         directory: Path,
+        extra_settings: dict[str, object],
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -98,6 +101,7 @@
             "min_lease_ms": 1_000,
             "flow_life_seconds": 60,
             "grace_seconds": GRACE_SECONDS,
+            **extra_settings,
         }
         self._settings_path.write_text(json.dumps(settings))
 
--- a/deploy/soak/injector.py
+++ b/deploy/soak/injector.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import data_centre_faults
 import gevent
 from backend_servers import N_SERVERS_BY_SERVICE, BackendServer
 from fleet import Balancer
@@ -190,12 +191,24 @@
         store.restore(random.uniform(0.5, 10.0))
         gevent.sleep(random.uniform(0.0, MAX_REWRITE_SECONDS))
         self._run.write_configuration_again()
+        if self._run.evacuations is not None:
+            self._run.evacuations.write_again(self._run.data_centres)
         gevent.sleep(LEASE_SECONDS)
         for key in list(store.items):
             name = key.removeprefix("servers/")
             if name != key and name not in self._run.shared.backend_servers:
                 store.delete(key)
 
+    def _inject_evacuation(self, entry: ScheduleEntry) -> None:
+        data_centre_faults.evacuate(self._run, entry)
+
+    def _inject_data_centre_cut_off(self, entry: ScheduleEntry) -> None:
+        self._extend_fault_window(entry.seconds)
+        data_centre_faults.cut_off(self._run, entry)
+
+    def _inject_servers_restart(self, entry: ScheduleEntry) -> None:
+        data_centre_faults.restart_servers(self._run, entry)
+
     def _inject_store_revoke(self, entry: ScheduleEntry) -> None:
         self._run.store.revoke("stoattray/members/")
 
@@ -249,6 +262,8 @@
         is_settled = self._run.monitor.fault_window_ends_at <= changed_at
         if not is_settled or (destination in self._run.routes) != is_added:
             return
+        if is_added and not self._run.has_usable_server(service):
+            return
         outcome = self._run.callers[0].create_flow(destination).open()
         self._run.monitor.counts["configurations checked"] += 1
         expected = "open" if is_added else "reset"
--- a/deploy/soak/run.py
+++ b/deploy/soak/run.py
@@ -1,6 +1,5 @@
 """One soak run: real balancers, simulated surroundings, a schedule and checks."""
 
-import re
 import socket as sockets
 import struct
 import tempfile
@@ -13,16 +12,21 @@
 from typing import Any
 
 import gevent
+import warm_up
 from backend_servers import N_SERVERS_BY_SERVICE, BackendServer, SharedState
 from callers import Caller, CallerFlow, Routers
+from evacuations import Evacuations
 from fleet import Balancer, Fleet, Ports
-from gevent import socket
 from injector import Injector
 from monitor import InvariantMonitor
-from schedule import generate_restores, generate_schedule
+from schedule import generate_evacuations, generate_restores, generate_schedule
 from store import SimulatedStore, encode_document
+from versions import check_versions, fetch_metrics
 
 DATA_CENTRES = ("luzon-a", "luzon-b")
+DATA_CENTRES_TO_EVACUATE = (*DATA_CENTRES, "luzon-c")
+"""One data centre remains while two are evacuated."""
+
 MIN_SUCCESS_SHARE = 0.95
 N_CALLERS = 6
 N_FLOWS_PER_CALLER = 4
@@ -46,6 +50,8 @@
         Directory for settings and logs.
     has_restores : bool
         Whether the store also returns from older copies.
+    has_evacuations : bool
+        Whether data centres are evacuated, and servers start cold.
     """
 
     def __init__(
@@ -56,6 +62,7 @@
         directory: Path,
         *,
         has_restores: bool,
+        has_evacuations: bool,
     ) -> None:
         self._random = Random(seed)
         self._seconds = seconds
@@ -63,9 +70,20 @@
         self.monitor = InvariantMonitor()
         self.store = SimulatedStore(self._random)
         self.shared = SharedState(self.store, self.monitor, self._random)
+        self.data_centres = DATA_CENTRES
+        self.evacuations: Evacuations | None = None
+        self.outage_ends_at = 0.0
+        self._is_under_way = False
+        if has_evacuations:
+            self.data_centres = DATA_CENTRES_TO_EVACUATE
+            self.evacuations = Evacuations(self.store, self.monitor)
+            self.shared.evacuations = self.evacuations
         self._schedule = generate_schedule(seed, seconds)
         if has_restores:
             self._schedule += generate_restores(seed, seconds)
+        if has_evacuations:
+            self._schedule += generate_evacuations(seed, seconds)
+        if has_restores or has_evacuations:
             self._schedule.sort()
         self._ports = Ports(7_101, 7_102, 7_103, 7_104, 7_105, 7_106)
         self.fleet = Fleet(self.monitor, self._create_balancers(n_balancers, directory))
@@ -75,7 +93,6 @@
         self._n_backend_servers = 0
         self._n_requests = 0
         self._recent_outcomes: Counter[str] = Counter()
-        self._latest_versions: dict[tuple[str, int], int] = {}
         self.free_addresses: list[tuple[str, int]] = []
 
     def execute(self) -> dict[str, Any]:
@@ -85,6 +102,7 @@
             self.monitor.started_at = time.monotonic()
             self._wait_until_ready()
             self.monitor.started_at = time.monotonic()
+            self._is_under_way = True
             callers = self.callers * N_FLOWS_PER_CALLER
             traffic = [
                 gevent.spawn(self._generate_traffic, caller) for caller in callers
@@ -115,13 +133,14 @@
         return [
             Balancer(
                 f"edge-{number}",
-                DATA_CENTRES[number % len(DATA_CENTRES)],
+                self.data_centres[number % len(self.data_centres)],
                 host,
                 advertised_host=advertised_hosts[number],
                 ports=self._ports,
                 seeds=seeds,
                 store=self._store_address,
                 directory=directory,
+                extra_settings=warm_up.SETTINGS if self.evacuations else {},
             )
             for number, host in enumerate(hosts)
         ]
@@ -149,7 +168,7 @@
             stack.callback(self.fleet.stop)
             tasks.append(gevent.spawn(self._routers.run))
             tasks.append(gevent.spawn(self.fleet.monitor_processes))
-            tasks.append(gevent.spawn(self._check_versions))
+            tasks.append(gevent.spawn(check_versions, self.fleet, self.monitor))
             self.callers = [
                 Caller(
                     f"127.{self._subnet}.4.{number + 1}",
@@ -179,7 +198,7 @@
 
     @staticmethod
     def _has_configuration(balancer: Balancer) -> bool:
-        return "stoattray_configuration_version" in _fetch_metrics(balancer)
+        return "stoattray_configuration_version" in fetch_metrics(balancer)
 
     def _generate_traffic(self, caller: Caller) -> None:
         while True:
@@ -252,12 +271,18 @@
         body = {
             "version": self._version,
             "routes": routes,
-            "services": [{"name": name} for name in N_SERVERS_BY_SERVICE],
+            "services": [self._service(name) for name in N_SERVERS_BY_SERVICE],
             "limits": {"idle_timeout_ms": IDLE_TIMEOUT_MILLIS},
         }
         self._configuration = encode_document(body)
         self.store.put("op/config", self._configuration)
 
+    def _service(self, name: str) -> dict[str, object]:
+        if self.evacuations is None:
+            return {"name": name}
+        seconds, per_second = warm_up.WARM_UPS[name]
+        return {"name": name, "warmup_s": seconds, "warmup_per_s": per_second}
+
     def write_configuration_again(self) -> None:
         """Write the newest configuration again if the store has lost it."""
         item = self.store.items.get("op/config")
@@ -265,66 +290,98 @@
             self.store.put("op/config", self._configuration)
 
     def add_backend_server(
-        self, service: str, address: tuple[str, int] | None = None
+        self,
+        service: str,
+        address: tuple[str, int] | None = None,
+        data_centre: str | None = None,
     ) -> BackendServer:
         """Start a backend server, at a new address unless one is given."""
         self._n_backend_servers += 1
-        server = BackendServer(
+        number = self._n_backend_servers
+        return self._start_backend_server(
             f"i-{self._random.getrandbits(40):010x}",
             service,
-            DATA_CENTRES[self._n_backend_servers % len(DATA_CENTRES)],
-            address or (f"127.{self._subnet}.3.{self._n_backend_servers}", 7_107),
+            data_centre or self.data_centres[number % len(self.data_centres)],
+            address or (f"127.{self._subnet}.3.{number}", 7_107),
+            is_cold=bool(self.evacuations) and self._is_under_way,
+        )
+
+    def restart_backend_server(self, server: BackendServer) -> BackendServer:
+        """Start a backend server that has stopped again, under its id and cold."""
+        return self._start_backend_server(
+            server.name,
+            server.service,
+            server.data_centre,
+            server.address,
+            is_cold=True,
+            is_restart=True,
+        )
+
+    def _start_backend_server(
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        address: tuple[str, int],
+        *,
+        is_cold: bool,
+        is_restart: bool = False,
+    ) -> BackendServer:
+        check = None
+        if is_cold:
+            check = warm_up.WarmUpCheck(
+                name,
+                warm_up.WARM_UPS[service],
+                self.monitor.elapsed_seconds,
+                self.monitor,
+                is_restart=is_restart,
+            )
+        server = BackendServer(
+            name,
+            service,
+            data_centre,
+            address,
             caller_port=self._ports.datagrams,
             shared=self.shared,
+            warm_up=check,
+            started_at_unix_ms=round(1_000 * time.time()) if is_cold else 1,
         )
         server.start()
         return server
 
-    def _check_versions(self) -> None:
-        """Check that no process reverts to an older configuration; never returns."""
-        while True:
-            for balancer in self.fleet.balancers:
-                process = (balancer.name, balancer.n_starts)
-                match = re.search(
-                    r"^stoattray_configuration_version (\d+)",
-                    _fetch_metrics(balancer),
-                    re.M,
-                )
-                if match is None or process != (balancer.name, balancer.n_starts):
-                    continue
-                version = int(match[1])
-                if version < self._latest_versions.get(process, 0):
-                    self.monitor.record_violation(
-                        "never an older configuration", at_=process
-                    )
-                self._latest_versions[process] = version
-            gevent.sleep(0.5)
-
+    def has_usable_server(self, service: str) -> bool:
+        """Return whether an opening of a service must succeed.
 
-def _fetch_metrics(balancer: Balancer) -> str:
-    """Return a balancer's metrics, or an empty string if it does not respond."""
-    address = (balancer.readiness_address[0], 7_105)
-    try:
-        with gevent.Timeout(0.5, TimeoutError()):
-            connection = socket.create_connection(address)
-            try:
-                connection.sendall(
-                    b"GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-                )
-                chunks = iter(lambda: connection.recv(65_536), b"")
-                return b"".join(chunks).decode()
-            finally:
-                connection.close()
-    except (OSError, TimeoutError):
-        return ""
+        Evacuations, joint restarts and cold servers may leave a service without a
+        server for which openings are not limited.
+        """
+        if self.evacuations is None:
+            return True
+        return self.monitor.elapsed_seconds >= self.outage_ends_at and any(
+            server.service == service
+            and server.draining_since is None
+            and not server.is_cold
+            and not self.evacuations.is_requested(server.data_centre)
+            for server in self.shared.backend_servers.values()
+        )
 
 
 def execute_run(
-    seed: int, seconds: float, n_balancers: int, *, has_restores: bool = False
+    seed: int,
+    seconds: float,
+    n_balancers: int,
+    *,
+    has_restores: bool = False,
+    has_evacuations: bool = False,
 ) -> tuple[dict[str, Any], Path]:
     """Execute one run; return its report and its log directory."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     report = Run(
-        seed, seconds, n_balancers, directory, has_restores=has_restores
+        seed,
+        seconds,
+        n_balancers,
+        directory,
+        has_restores=has_restores,
+        has_evacuations=has_evacuations,
     ).execute()
     return {"seed": seed, "seconds": seconds, **report}, directory
--- a/deploy/soak/schedule.py
+++ b/deploy/soak/schedule.py
@@ -18,6 +18,14 @@
 """Short intervals make entries overlap; long intervals separate them."""
 
 
+EVACUATION_RECOVERY_SECONDS = 11.0
+"""No evacuation or joint restart of servers lasts until this close to the end of a run:
+the servers are cold for up to 7 s afterwards."""
+
+MIN_EVACUATION_SECONDS = 6.0
+"""An evacuation lasts longer than the 5 s after which it is checked."""
+
+
 class ScheduleEntry(NamedTuple):
     """Start time, kind and duration of an injection; `pick` selects its target."""
 
@@ -88,6 +96,56 @@
     return entries
 
 
+def generate_evacuations(seed: int, seconds: float) -> list[ScheduleEntry]:
+    """Return evacuations and faults of data centres, in chronological order.
+
+    Evacuations come one or two at once, in a fault phase mostly of a data centre that
+    is also cut off.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    seconds : float
+        Length of the run.
+    """
+    random = Random(f"evacuations of {seed}")
+    latest_end = seconds - EVACUATION_RECOVERY_SECONDS
+    entries = []
+
+    def add(at: float, kind: str, duration: float, pick: int) -> None:
+        entries.append(ScheduleEntry(round(at, 2), kind, round(duration, 2), pick))
+
+    at = START_SECONDS
+    while at + MIN_EVACUATION_SECONDS <= latest_end:
+        pick = random.getrandbits(30)
+        ends_at = at
+        for number in range(random.choice((1, 1, 2))):
+            duration = min(
+                random.uniform(MIN_EVACUATION_SECONDS, 10.0), latest_end - at
+            )
+            add(at, "evacuation", duration, pick + number)
+            ends_at = max(ends_at, at + duration)
+        if not _is_planned_phase(at) and random.random() < 0.7:
+            cut_at = at + random.uniform(0.0, 2.0)
+            add(cut_at, "data_centre_cut_off", random.uniform(1.0, 3.0), pick)
+        at = ends_at + random.uniform(0.3, 1.5)
+    at = START_SECONDS + random.uniform(0.0, 2.0)
+    while at < latest_end:
+        down_seconds = random.uniform(0.3, 2.5)
+        add(at, "servers_restart", down_seconds, random.getrandbits(30))
+        at += down_seconds + random.uniform(2.5, 5.0)
+    return sorted(entries)
+
+
+def _is_planned_phase(at: float) -> bool:
+    """Return whether a time is in a phase with planned changes only."""
+    seconds_into_cycle = (at - START_SECONDS) % (
+        FAULT_PHASE_SECONDS + PLANNED_PHASE_SECONDS
+    )
+    return seconds_into_cycle >= FAULT_PHASE_SECONDS
+
+
 def generate_schedule(seed: int, seconds: float) -> list[ScheduleEntry]:
     """Return the entries of a run in chronological order.
 
@@ -102,12 +160,8 @@
     entries = []
     at = START_SECONDS
     while at < seconds - RECOVERY_SECONDS:
-        seconds_into_cycle = (at - START_SECONDS) % (
-            FAULT_PHASE_SECONDS + PLANNED_PHASE_SECONDS
-        )
-        is_planned = seconds_into_cycle >= FAULT_PHASE_SECONDS
         kind = random.choice(
-            PLANNED_KINDS if is_planned else PLANNED_KINDS + FAULT_KINDS
+            PLANNED_KINDS if _is_planned_phase(at) else PLANNED_KINDS + FAULT_KINDS
         )
         duration = round(random.uniform(0.5, 4.0), 2)
         entries.append(
--- /dev/null
+++ b/deploy/tests/test_soak_checks.py
@@ -0,0 +1,143 @@
+"""The soak's schedule and checks of evacuations and of servers that start cold."""
+
+import sys
+import time
+import unittest
+from pathlib import Path
+from random import Random
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "soak"))
+
+from evacuations import Evacuations
+from monitor import InvariantMonitor
+from schedule import EVACUATION_RECOVERY_SECONDS, generate_evacuations
+from store import SimulatedStore
+from warm_up import WarmUp, WarmUpCheck
+
+
+def monitor_at(seconds, fault_window_ends_at=0.0):
+    """Return a monitor of a run that has lasted for some seconds."""
+    return InvariantMonitor(
+        time.monotonic() - seconds, fault_window_ends_at=fault_window_ends_at
+    )
+
+
+class WarmUpCheckTest(unittest.TestCase):
+    """The check of the limit, here of three openings a second for six seconds."""
+
+    WARM_UP = WarmUp(6.0, 1.0)
+
+    def check(self, monitor, *, is_restart=False):
+        return WarmUpCheck("i-1", self.WARM_UP, 10.0, monitor, is_restart=is_restart)
+
+    def test_more_openings_than_the_limit_in_a_second_are_reported(self):
+        """Guards against a check that passes whatever arrives."""
+        monitor = monitor_at(12)
+        check = self.check(monitor)
+        for at in (11.0, 11.4, 11.8, 12.05):
+            check.note_opening(at)
+        self.assertEqual(monitor.violations, [])
+        check.note_opening(12.3)
+        self.assertEqual([v["promise"] for v in monitor.violations], ["warm-up limit"])
+
+    def test_the_limit_holds_during_faults(self):
+        """Guards against a fault window that exempts new servers."""
+        monitor = monitor_at(12, fault_window_ends_at=20.0)
+        check = self.check(monitor)
+        for _ in range(4):
+            check.note_opening(11.0)
+        self.assertEqual(len(monitor.violations), 1)
+
+    def test_a_warm_server_has_no_limit(self):
+        """Guards against false reports after the warm-up."""
+        monitor = monitor_at(17)
+        check = self.check(monitor)
+        for _ in range(10):
+            check.note_opening(16.0)
+        self.assertEqual(monitor.violations, [])
+
+    def test_a_restart_is_exempt_until_its_record_can_be_known(self):
+        """Guards against an exception that lasts longer than stated, or less long."""
+        monitor = monitor_at(12, fault_window_ends_at=11.5)
+        check = self.check(monitor, is_restart=True)
+        check.note_record(10.0)
+        check.note_time(10.8)
+        for _ in range(10):
+            check.note_opening(10.85)
+        self.assertEqual(monitor.violations, [])
+        check.note_time(10.95)
+        for _ in range(4):
+            check.note_opening(11.0)
+        self.assertEqual(len(monitor.violations), 1)
+
+    def test_a_restart_is_exempt_while_faults_may_withhold_its_record(self):
+        """Guards against reports of openings that no balancer can prevent."""
+        monitor = monitor_at(12, fault_window_ends_at=20.0)
+        check = self.check(monitor, is_restart=True)
+        check.note_record(10.0)
+        check.note_time(11.5)
+        for _ in range(10):
+            check.note_opening(11.6)
+        self.assertEqual(monitor.violations, [])
+
+
+class EvacuationsTest(unittest.TestCase):
+    """The check that an evacuated data centre gets no openings."""
+
+    def setUp(self):
+        self.monitor = monitor_at(10)
+        self.store = SimulatedStore(Random(1))
+        self.evacuations = Evacuations(self.store, self.monitor)
+
+    def test_openings_are_reported_from_five_seconds_until_the_removal(self):
+        """Guards against a check that is too strict, too late or never ends."""
+        self.evacuations.begin("a")
+        self.assertIn("op/evacuate/a", self.store.items)
+        self.evacuations.check_opening("i-1", "a", 14.9)
+        self.evacuations.check_opening("i-1", "b", 15.1)
+        self.assertEqual(self.monitor.violations, [])
+        self.evacuations.check_opening("i-1", "a", 15.1)
+        self.assertEqual(len(self.monitor.violations), 1)
+        self.evacuations.end("a")
+        self.assertNotIn("op/evacuate/a", self.store.items)
+        self.evacuations.check_opening("i-1", "a", 15.2)
+        self.assertEqual(len(self.monitor.violations), 1)
+
+    def test_openings_in_a_fault_window_are_not_reported(self):
+        """Guards against reports of balancers that are out of contact."""
+        self.evacuations.begin("a")
+        self.monitor.fault_window_ends_at = 20.0
+        self.evacuations.check_opening("i-1", "a", 16.0)
+        self.assertEqual(self.monitor.violations, [])
+
+    def test_what_a_copy_of_the_store_lacks_or_restores_is_corrected(self):
+        """Guards against a check that relies on a request which the store has lost."""
+        self.evacuations.begin("a")
+        self.store.delete("op/evacuate/a")
+        self.store.put("op/evacuate/b", b"{}")
+        self.evacuations.write_again(("a", "b"))
+        self.assertEqual(list(self.store.items), ["op/evacuate/a"])
+
+
+class ScheduleTest(unittest.TestCase):
+    """The schedule of evacuations."""
+
+    def test_all_seeds_evacuate_and_leave_time_for_recovery(self):
+        """Guards against runs that check nothing, or end before servers are warm."""
+        n_together = 0
+        for seed in range(300):
+            entries = generate_evacuations(seed, 34.0)
+            evacuations = [entry for entry in entries if entry.kind == "evacuation"]
+            self.assertTrue(evacuations)
+            self.assertTrue(any(entry.kind == "servers_restart" for entry in entries))
+            for entry in evacuations:
+                self.assertGreater(entry.seconds, 5.0)
+                self.assertLessEqual(
+                    entry.at + entry.seconds, 34.02 - EVACUATION_RECOVERY_SECONDS
+                )
+            n_together += len({entry.at for entry in evacuations}) < len(evacuations)
+        self.assertGreater(n_together, 100)
+
+
+if __name__ == "__main__":
+    unittest.main()
