soak: servers write their records again once they are warm

The log shows that only balancers which had just started, also in a planned roll, refused openings, as `overloaded`, with `warm_up_limited` for servers that had been warm for a long time. A balancer counts the warm-up in a record from the record's arrival, as the plan says; records carry no age, and the simulated servers never wrote theirs again, so each balancer took every server for cold for 3 or 7 s after its own start. Whether the platform's servers write theirs again is unknown.

Change: simulated servers write their record again when they are warm.

--- a/deploy/soak/backend_servers.py
+++ b/deploy/soak/backend_servers.py
@@ -86,6 +86,7 @@
         self._lease = 0
         self._sequence = 0
         self._record = b""
+        self._is_recorded_cold = False
 
     def start(self) -> None:
         """Receive packets and register in the store."""
@@ -121,7 +122,9 @@
         while True:
             item = store.items.get(f"servers/{self.name}")
             is_current = item is not None and item.value == self._record
-            if not store.faults.is_down and not is_current:
+            # A balancer that starts counts the time in the record from then on.
+            has_warmed = self._is_recorded_cold and not self.is_cold
+            if not store.faults.is_down and (has_warmed or not is_current):
                 self._write_record()
             if self._warm_up is not None:
                 self._warm_up.note_time(self._shared.monitor.elapsed_seconds)
@@ -140,6 +143,7 @@
 
     def _write_record(self) -> None:
         self._sequence += 1
+        self._is_recorded_cold = self.is_cold
         body = {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -1,5 +1,7 @@
 """The soak's schedule and checks of evacuations and of servers that start cold."""
 
+import json
+import os
 import sys
 import time
 import unittest
@@ -8,6 +10,8 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "soak"))
 
+import gevent
+from backend_servers import BackendServer, SharedState
 from evacuations import Evacuations
 from monitor import InvariantMonitor
 from schedule import EVACUATION_RECOVERY_SECONDS, generate_evacuations
@@ -81,6 +85,35 @@
         self.assertEqual(monitor.violations, [])
 
 
+class WarmServerTest(unittest.TestCase):
+    """The record of a simulated backend server that started cold."""
+
+    def test_a_server_that_is_warm_writes_its_record_again(self):
+        """Guards against balancers that take it for cold whenever they start."""
+        monitor = monitor_at(0)
+        store = SimulatedStore(Random(1))
+        shared = SharedState(store, monitor, Random(1))
+        check = WarmUpCheck("i-1", WarmUp(0.3, 1.0), 0.0, monitor, is_restart=False)
+        host = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}.2"
+        server = BackendServer(
+            "i-1",
+            "lookup",
+            "a",
+            (host, 7_107),
+            caller_port=7_101,
+            shared=shared,
+            warm_up=check,
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        gevent.sleep(0.05)
+        record = json.loads(store.items["servers/i-1"].value)
+        self.assertGreater(record["warmup_remaining_ms"], 0)
+        gevent.sleep(1.0)
+        record = json.loads(store.items["servers/i-1"].value)
+        self.assertEqual(record["warmup_remaining_ms"], 0)
+
+
 class EvacuationsTest(unittest.TestCase):
     """The check that an evacuated data centre gets no openings."""
 
