soak: an evacuation begins only after the one before has ended

While the store was down, the end of an evacuation and the next begin of the same data centre waited for it; the begin came first, and the end removed both.

Change: a begin waits until the previous evacuation of its data centre has ended.

--- a/deploy/soak/evacuations.py
+++ b/deploy/soak/evacuations.py
@@ -31,14 +31,19 @@
         return data_centre in self._acknowledged_at
 
     def begin(self, data_centre: str) -> None:
-        """Request an evacuation; waits until the store accepts it."""
-        self._wait_for_store()
+        """Request an evacuation; waits until the store accepts it.
+
+        It also waits for the end of the one before, which the store may accept late.
+        """
+        while self._store.faults.is_down or self.is_requested(data_centre):
+            gevent.sleep(STORE_POLL_SECONDS)
         self._store.put(_key(data_centre), b"{}")
         self._acknowledged_at[data_centre] = self._monitor.elapsed_seconds
 
     def end(self, data_centre: str) -> None:
         """Withdraw the request; waits until the store accepts that."""
-        self._wait_for_store()
+        while self._store.faults.is_down:
+            gevent.sleep(STORE_POLL_SECONDS)
         acknowledged_at = self._acknowledged_at.pop(data_centre)
         if self._is_due(acknowledged_at, self._monitor.elapsed_seconds):
             self._monitor.counts["evacuations checked"] += 1
@@ -72,10 +77,6 @@
         is_settled = at >= self._monitor.fault_window_ends_at
         return is_settled and at - acknowledged_at > MAX_EVACUATION_DELAY_SECONDS
 
-    def _wait_for_store(self) -> None:
-        while self._store.faults.is_down:
-            gevent.sleep(STORE_POLL_SECONDS)
-
 
 def _key(data_centre: str) -> str:
     return f"op/evacuate/{data_centre}"
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -143,6 +143,18 @@
         self.evacuations.check_opening("i-1", "a", 16.0)
         self.assertEqual(self.monitor.violations, [])
 
+    def test_the_next_evacuation_begins_after_a_late_end(self):
+        """Guards against an end that waited for the store and ends the next one."""
+        self.evacuations.begin("a")
+        self.store.faults.is_down = True
+        begin = gevent.spawn(self.evacuations.begin, "a")
+        end = gevent.spawn(self.evacuations.end, "a")
+        gevent.sleep(0.05)
+        self.store.faults.is_down = False
+        gevent.joinall([begin, end], timeout=2.0, raise_error=True)
+        self.assertTrue(self.evacuations.is_requested("a"))
+        self.assertIn("op/evacuate/a", self.store.items)
+
     def test_what_a_copy_of_the_store_lacks_or_restores_is_corrected(self):
         """Guards against a check that relies on a request which the store has lost."""
         self.evacuations.begin("a")
