core: a late answer of a server shows no restart

Cause: a server that was silent for 30 ms and then answered the same opening was treated as cold for its whole warm-up. Change: a server may have started again only if the answered opening was sent 0.3 s or more after the first one that it left unanswered.

--- a/packages/stoattray-core/src/stoattray_core/steering/cold_servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cold_servers.py
@@ -12,6 +12,10 @@
 from stoattray_core.steering.entries import WarmUp
 from stoattray_core.steering.servers import ServerRow
 
+MIN_RESTART_MILLIS = 300
+"""Least time in which a server can fail and start again. A shorter silence is a late
+answer: a busy balancer finds servers silent after 30 ms and hears them 100 ms later."""
+
 
 class ColdServers:
     """Tells which servers are cold, at no cost for services without any.
@@ -43,7 +47,7 @@
         self._note_service(server, server.warm_at)
 
     def note_silence(
-        self, server: ServerRow, cut_off_until: Millis, now: Millis
+        self, server: ServerRow, sent_at: Millis, cut_off_until: Millis, now: Millis
     ) -> None:
         """Note that a server, or its whole data centre, became suspect for silence.
 
@@ -51,6 +55,8 @@
         ----------
         server : ServerRow
             The server.
+        sent_at : Millis
+            When the opening that it left unanswered was sent.
         cut_off_until : Millis
             Until when its data centre is suspect; 0 if it is not.
         now : Millis
@@ -58,27 +64,30 @@
         """
         if self._warm_up(server.entry.service) is None:
             return
+        if server.silent_since is None:
+            server.silent_since = sent_at
         if server.suspect_until > now:
             self._note_service(server, server.suspect_until)
         if cut_off_until > now:
             self._cut_off_until[server.entry.data_centre] = cut_off_until
 
-    def note_answer(self, server: ServerRow, now: Millis, *, was_silent: bool) -> None:
+    def note_answer(self, server: ServerRow, sent_at: Millis, now: Millis) -> None:
         """Note that a server answered an opening.
 
         Parameters
         ----------
         server : ServerRow
             The server.
+        sent_at : Millis
+            When the opening was sent.
         now : Millis
             Current time.
-        was_silent : bool
-            Whether its previous opening was left unanswered.
         """
+        silent_since, server.silent_since = server.silent_since, None
         warm_up = self._warm_up(server.entry.service)
         if warm_up is None:
             return
-        if was_silent:
+        if silent_since is not None and sent_at - silent_since >= MIN_RESTART_MILLIS:
             server.maybe_cold_until = now + warm_up.millis
             self._note_service(server, server.maybe_cold_until)
         if self._cut_off_until.get(server.entry.data_centre, 0) > now:
--- a/packages/stoattray-core/src/stoattray_core/steering/openings.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/openings.py
@@ -167,8 +167,7 @@
             self.follow_up_times.observe(waited_millis)
             if self._remote_traffic is not None:
                 self._remote_traffic.note_follow_up(flow.server, waited_millis)
-        was_silent = flow.server.n_silent > 0
-        self._warm_up.cold_servers.note_answer(flow.server, now, was_silent=was_silent)
+        self._warm_up.cold_servers.note_answer(flow.server, flow.sent_at, now)
         if self._silence_detector.note_follow_up(flow.server, waited_millis, now):
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.establish(flow)
@@ -190,7 +189,9 @@
                 heard_age_ms=now - silent.record_received_at,
             )
         cut_off_until = self._silence_detector.cut_off_until(silent.entry.data_centre)
-        self._warm_up.cold_servers.note_silence(silent, cut_off_until, now)
+        self._warm_up.cold_servers.note_silence(
+            silent, flow.sent_at, cut_off_until, now
+        )
         if len(flow.tried_servers) >= MAX_SERVERS_TRIED or flow.opening is None:
             return None
         server = self._placement.select(
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -58,6 +58,8 @@
         When its warm-up ends.
     maybe_cold_until : Millis
         Until when it may be cold without a record of it, as it answered after silence.
+    silent_since : Millis or None
+        When the first opening was sent that it left unanswered; None if it answers.
     presence : Presence
         Whether its record is in the store, lapsed or removed.
     removed_at : Millis or None
@@ -103,6 +105,7 @@
         "record_received_at",
         "removed_at",
         "response_millis",
+        "silent_since",
         "slowdown",
         "suspect_until",
         "warm_at",
@@ -115,6 +118,7 @@
         self.presence = Presence.LISTED
         self.warm_at: Millis = 0
         self.maybe_cold_until: Millis = 0
+        self.silent_since: Millis | None = None
         self.removed_at: Millis | None = None
         self.record_received_at: Millis = 0
         self.last_established_at: Millis = 0
