core: remember deferred openings only where levels deferred them

Cause: with the setting contention, openings that were deferred after the start of a balancer were remembered for all services, and their retransmissions could be reset; services without two priorities are to be served as before. Change: only refusals that name a level are remembered. Measured: the new test of test_deferral fails before the change.

--- a/packages/stoattray-core/src/stoattray_core/steering/openings.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/openings.py
@@ -63,8 +63,6 @@
         Limits the openings for cold servers.
     remote_traffic : RemoteTraffic or None
         Measures the round trips to data centres; None if traffic is not limited.
-    has_contention : bool
-        Whether deferred openings are remembered.
     is_ready : callable
         Returns whether packets can be forwarded.
     log : OpeningLog
@@ -94,7 +92,6 @@
         silence_detector: SilenceDetector,
         warm_up: WarmUpLimit,
         remote_traffic: RemoteTraffic | None,
-        has_contention: bool,
         is_ready: Callable[[], bool],
         log: OpeningLog,
         counters: Counter[str],
@@ -110,7 +107,6 @@
         self._silence_detector = silence_detector
         self._warm_up = warm_up
         self._remote_traffic = remote_traffic
-        self._has_contention = has_contention
         self._is_ready = is_ready
         self._log = log
         self._counters = counters
@@ -141,7 +137,9 @@
         )
         if isinstance(server, Overload):
             self._log.note_refused(packet, server, now)
-            server = DEFERRED if server.is_deferred else OVERLOADED
+            has_levels = server.refusal is not None
+            reason = DEFERRED if server.is_deferred else OVERLOADED
+            return self._refuse(packet, flow, reason, now, has_levels=has_levels)
         if isinstance(server, Refused):
             return self._refuse(packet, flow, server, now)
         self._deferred.forget(packet.key)
@@ -222,9 +220,18 @@
         self._deferred.expire(now)
 
     def _refuse(
-        self, packet: Packet, flow: FlowRow | None, reason: Refused, now: Millis
+        self,
+        packet: Packet,
+        flow: FlowRow | None,
+        reason: Refused,
+        now: Millis,
+        *,
+        has_levels: bool = False,
     ) -> Refused:
-        """Return `reason`, or `POSSIBLY_OPEN` if the flow may be open somewhere."""
+        """Return `reason`, or `POSSIBLY_OPEN` if the flow may be open somewhere.
+
+        Deferred openings are remembered only for services with priority levels.
+        """
         n_retransmissions = packet.n_retransmissions
         if flow is not None or not self._deferred.has_all_before(
             packet.key, n_retransmissions, now
@@ -232,7 +239,7 @@
             return POSSIBLY_OPEN
         if reason is not DEFERRED:
             self._deferred.forget(packet.key)
-        elif self._has_contention:
+        elif has_levels:
             self._deferred.note_deferred(packet.key, n_retransmissions, now)
         return reason
 
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -176,7 +176,6 @@
             silence_detector=self._silence_detector,
             warm_up=self.warm_up,
             remote_traffic=self.remote_traffic,
-            has_contention=self._contention is not None,
             is_ready=lambda: self.is_ready,
             log=OpeningLog(
                 own.data_centre, self.cluster_state, self._silence_detector, on_event
--- a/tests/core/steering/test_deferral.py
+++ b/tests/core/steering/test_deferral.py
@@ -5,6 +5,7 @@
 
 from stoattray_core._errors import ErrorKind
 from stoattray_core._sentinel import Refused
+from stoattray_core.steering.admission import Overload
 from stoattray_core.steering.contention import ContentionSettings
 from stoattray_core.steering.deferral import (
     MAX_DEFERRED,
@@ -105,6 +106,18 @@
         self.assertNotIsInstance(self.open(1, share=1, forecast=1.0), Refused)
         self.assertEqual(self.balancer.steering.counters["level_1_deferred"], 1)
 
+    def test_retransmission_is_answered_as_before_without_levels(self):
+        """Guards against resets of services whose routes have one priority."""
+        overload = Overload(
+            self.balancer.steering.servers.get("i-01"), None, 1.0, 0.0, 0.0, True
+        )
+        placement = self.balancer.steering._openings._placement
+        placement.select = mock.Mock(return_value=overload)
+        self.assertEqual(self.balancer.open().kind, ErrorKind.DEFERRED)
+        placement.select.return_value = overload._replace(is_deferred=False)
+        refused = self.balancer.open(n_retransmissions=1)
+        self.assertEqual(refused.kind, ErrorKind.NO_OWNER)
+
     def test_opening_whose_turn_cannot_come_is_refused_at_once(self):
         """Guards against callers that are held although nothing becomes free."""
         refused = self.open(0, share=0, forecast=0.1)
