--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -38,6 +38,7 @@
     admission,
     contention,
     cut_offs,
+    flow_placement,
     load_reports,
     locality,
     openings,
@@ -91,8 +92,22 @@
         (admission, "PRIORITY_MAX_LATENCY_RATIO"): EFFECTIVELY_INFINITE,
     },
     "refusals without a queue": {(admission, "MAX_UNREFUSED_PER_SLOT"): 0.0},
-    "no deferral after a start": {(admission, "RECOVERY_MILLIS"): 0},
-    "deferral for 2 s": {(admission, "RECOVERY_MILLIS"): 2_000},
+    "no deferral after a start": {(admission, "may_wait"): lambda route: False},
+    "late openings in any free slot": {
+        (flow_placement, "has_free_slots"): lambda rows, now: True
+    },
+    "expected time up to half as long": {
+        (admission, "MAX_LATENCY_RATIO"): admission.MAX_LATENCY_RATIO / 2,
+        (admission, "PRIORITY_MAX_LATENCY_RATIO"): (
+            admission.PRIORITY_MAX_LATENCY_RATIO / 2
+        ),
+    },
+    "expected time up to twice as long": {
+        (admission, "MAX_LATENCY_RATIO"): admission.MAX_LATENCY_RATIO * 2,
+        (admission, "PRIORITY_MAX_LATENCY_RATIO"): (
+            admission.PRIORITY_MAX_LATENCY_RATIO * 2
+        ),
+    },
     "cut-offs of each balancer alone": {(cut_offs, "VALID_MILLIS"): -1},
     "cut-offs without the requests that servers refuse": {
         (cut_offs, "MAX_REFUSED_PRESSURE"): 0.0
