core: deferral after a start ends after three tries, whatever the timeout

Cause: since deferral lasts for the route's timeout; with a timeout of a minute, callers would be held in overload for a minute after each start.

--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -73,6 +73,10 @@
 """Time after which callers give up an unanswered opening, and try again if they still
 wait."""
 
+MAX_RECOVERY_MILLIS = 3 * OPENING_MILLIS
+"""Longest time after the start in which openings are deferred, whatever the timeout:
+callers have tried three times by then, and others must not be held."""
+
 MAX_SAMPLE_AGE_MILLIS = 200
 """Without a response for this time, nothing is known about the load; the probability
 then halves every `HALF_LIFE_MILLIS`."""
@@ -366,7 +370,8 @@
         if self._started_at is None or not may_wait(route):
             return False
         assert route.timeout_millis is not None
-        return now - self._started_at < route.timeout_millis
+        waiting_millis = min(route.timeout_millis, MAX_RECOVERY_MILLIS)
+        return now - self._started_at < waiting_millis
 
     def _response_time(self, service: str) -> _ResponseTime:
         response_time = self._response_times.get(service)
--- a/tests/core/steering/test_admission.py
+++ b/tests/core/steering/test_admission.py
@@ -6,6 +6,7 @@
 from stoattray_core.steering.admission import (
     HALF_LIFE_MILLIS,
     INTERVAL_MILLIS,
+    MAX_RECOVERY_MILLIS,
     MAX_SAMPLE_AGE_MILLIS,
     OPENING_MILLIS,
     AdmissionControl,
@@ -171,6 +172,12 @@
         self.assertTrue(self.check(START_MILLIS + timeout - 1).is_deferred)
         self.assertIsNone(self.check(START_MILLIS + timeout))
 
+    def test_long_timeout_does_not_make_deferral_last(self):
+        """Guards against callers that are held for a minute after each start."""
+        now = START_MILLIS + MAX_RECOVERY_MILLIS
+        self.assertTrue(self.check(now - 1, timeout_millis=60_000).is_deferred)
+        self.assertIsNone(self.check(now, timeout_millis=60_000))
+
     def test_retransmitted_opening_waits_while_the_service_has_no_free_slot(self):
         """Guards against late requests in front of those that can be in time.
 
