--- a/packages/stoattray-core/src/stoattray_core/_errors.py
+++ b/packages/stoattray-core/src/stoattray_core/_errors.py
@@ -124,10 +124,13 @@
     """
 
     def __init__(self, kind: ErrorKind, reason: str) -> None:
-        super().__init__(reason)
+        super().__init__(kind, reason)
         self.kind = kind
         self.reason = reason
 
+    def __str__(self) -> str:
+        return self.reason
+
     @property
     def response(self) -> ErrorResponse:
         """Return the response to this kind of error."""
--- a/packages/stoattray-standin/src/stoattray_standin/_ports.py
+++ b/packages/stoattray-standin/src/stoattray_standin/_ports.py
@@ -3,13 +3,15 @@
 import itertools
 import os
 import socket
+from collections.abc import Iterator
+from functools import cache
 
 HOST = "127.0.0.1"
 FIRST_PORT = 15_000
 N_PORTS = 17_000
 
-# Processes that run at the same time start at different offsets.
-_offsets = itertools.count(os.getpid() * 131 % N_PORTS)
+N_PORTS_APART = 2_003
+"""Distance between the first ports of processes with consecutive identifiers."""
 
 
 def free_ports(n_ports: int) -> list[int]:
@@ -21,7 +23,7 @@
         If fewer than `n_ports` are free.
     """
     ports: list[int] = []
-    for offset in itertools.islice(_offsets, N_PORTS):
+    for offset in itertools.islice(_offsets(os.getpid()), N_PORTS):
         port = FIRST_PORT + offset % N_PORTS
         if _is_free(port):
             ports.append(port)
@@ -30,6 +32,12 @@
     raise OSError(f"fewer than {n_ports} free ports")
 
 
+@cache
+def _offsets(process: int) -> Iterator[int]:
+    """Return the offsets that a process tries; others start elsewhere."""
+    return itertools.count(process * N_PORTS_APART % N_PORTS)
+
+
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
         with socket.socket(socket.AF_INET, kind) as sock:
