core: callers of an isolated data centre are dropped, not reset, and helped sooner

Not admission refuses there, as the issue supposed: no opening_refused line is written. Every server elsewhere is silent within 0.3 s. Silent servers may start again cold, so openings are withheld from them; with all withheld the opening is refused as if all were cold, by a reset, since 1,638 ms leave no time for a third try. Callers use up both retries in some ms. Only 2.2 s without a confirmation show that luzon-a is alone.

While openings of an evacuated data centre find no usable server elsewhere, the balancer tries new connections to the store, 250 ms each. Two failures in a row show that it is isolated; an answered or refused one, or any confirmation, that it is not. A machine in touch has a path to the store, so it never takes itself to be isolated; a check during a pause of the process counts for nothing.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -16,6 +16,7 @@
 from stoattray_balancer.steering._http import http_server
 from stoattray_balancer.steering._peer_codec import encode_member
 from stoattray_balancer.steering.event_log import EventLog
+from stoattray_balancer.steering.isolation_checks import IsolationChecks
 from stoattray_balancer.steering.packet_forwarder import HeaderCodec, PacketForwarder
 from stoattray_balancer.steering.peers import Peers
 from stoattray_balancer.steering.settings import (
@@ -140,6 +141,11 @@
             random=self._random,
             on_event=self._log,
         )
+        self._isolation_checks = IsolationChecks(
+            self._steering.isolation,
+            address=lambda: self._settings.store,
+            clock=boot_millis,
+        )
         self._registration = Registration(
             new_client(settings),
             settings.member,
@@ -321,6 +327,7 @@
         actions = {
             "ticks": self._forwarder.run_ticks,
             "store": self._store_reader.run,
+            "isolation": self._isolation_checks.run,
             "seeds": self._peers.pull_until_ready,
             "heartbeats": self._peers.run_heartbeats,
             "registration": self._registration.run,
--- a/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flow_placement.py
@@ -9,12 +9,13 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.admission import AdmissionControl, Overload, may_wait
 from stoattray_core.steering.cluster_state import ClusterState
+from stoattray_core.steering.deferral import RETRANSMIT_MILLIS
 from stoattray_core.steering.entries import Route
-from stoattray_core.steering.heartbeat import MAX_CONFIRMED_AGE_MILLIS
+from stoattray_core.steering.isolation import Isolation
 from stoattray_core.steering.protocols import FarServerRule
 from stoattray_core.steering.server_selector import ServerSelector, draw_service
 from stoattray_core.steering.servers import ServerRow, has_free_slots
-from stoattray_core.steering.warm_up_limit import WarmUpLimit
+from stoattray_core.steering.warm_up_limit import ColdExclusion, WarmUpLimit
 
 FRESH_REPLICA_MILLIS = 2_000
 """A replica confirmed within this time is recent enough to reset openings to unknown
@@ -24,6 +25,7 @@
 NO_BACKEND_SERVER = Refused(ErrorKind.NO_BACKEND_SERVER)
 OVERLOADED = Refused(ErrorKind.OVERLOADED)
 DEFERRED = Refused(ErrorKind.DEFERRED)
+ALL_SILENT = Refused(ErrorKind.DEFERRED, "all servers are silent")
 STALE_REPLICA = Refused(ErrorKind.UNKNOWN_ADDRESS)
 
 
@@ -38,6 +40,8 @@
         Selects the best server of a service.
     admission : AdmissionControl
         Decides whether an opening is refused for overload.
+    isolation : Isolation
+        Tells whether this balancer is cut off.
     warm_up : WarmUpLimit
         Excludes cold servers that may not get an opening.
     service_time : callable
@@ -59,6 +63,7 @@
         selector: ServerSelector,
         admission: AdmissionControl,
         *,
+        isolation: Isolation,
         warm_up: WarmUpLimit,
         service_time: Callable[[str], float | None],
         counters: Counter[str],
@@ -68,6 +73,7 @@
         self._cluster_state = cluster_state
         self._selector = selector
         self._admission = admission
+        self._isolation = isolation
         self._warm_up = warm_up
         self._service_time = service_time
         self._counters = counters
@@ -107,13 +113,13 @@
         service = draw_service(route, self._random)
         exclusion = self._warm_up.exclusion(service, now)
         rows = self._cluster_state.servers.candidates(service, self._random, exclusion)
-        if self._is_isolated(rows, now):
-            rows = self._isolated_candidates(service, exclusion) or rows
+        if not self._selector.has_usable(rows, now):
+            rows = self._isolated_candidates(service, exclusion, now) or rows
         server = self._select_server(rows, service, route, now, avoid)
         if exclusion is not None and exclusion.withheld:
             self._warm_up.note_withheld(exclusion, now)
             if server is None:
-                return self._refuse_for_cold(route)
+                return self._refuse_for_cold(route, exclusion, n_retransmissions, now)
         if server is None:
             if self._cluster_state.servers.has_evacuated(service):
                 self._counters["openings_evacuated"] += 1
@@ -134,26 +140,19 @@
             return overload
         return server
 
-    def _is_isolated(self, rows: list[ServerRow], now: Millis) -> bool:
-        """Return whether this data centre is cut off from all servers elsewhere.
-
-        Only such a data centre may use its own evacuated servers, as nothing else can
-        serve its callers. The replica must be unconfirmed as well: then neither the
-        store nor a peer that reaches it is reachable.
-        """
-        age = self._cluster_state.confirmed_age(now)
-        return age > MAX_CONFIRMED_AGE_MILLIS and not self._selector.has_usable(
-            rows, now
-        )
-
     def _isolated_candidates(
-        self, service: str, exclusion: Callable[[ServerRow], bool] | None
+        self, service: str, exclusion: ColdExclusion | None, now: Millis
     ) -> list[ServerRow]:
+        """Return this data centre's evacuated servers if it is isolated, or none."""
         rows = self._cluster_state.servers.evacuated_local_candidates(
             service, self._random, exclusion
         )
-        if rows:
-            self._counters["openings_isolated"] += 1
+        if not rows:
+            return []
+        self._isolation.note_no_server(now)
+        if not self._isolation.is_isolated(now):
+            return []
+        self._counters["openings_isolated"] += 1
         return rows
 
     def _select_server(
@@ -176,10 +175,28 @@
             avoid=avoid,
         )
 
-    def _refuse_for_cold(self, route: Route) -> Refused:
-        """Refuse an opening because all servers are cold and withheld."""
-        is_deferred = may_wait(route)
+    def _refuse_for_cold(
+        self,
+        route: Route,
+        exclusion: ColdExclusion,
+        n_retransmissions: int,
+        now: Millis,
+    ) -> Refused:
+        """Refuse an opening because all servers are withheld.
+
+        Silent servers are withheld as they may start again cold. Whether they are
+        cannot be known yet, so callers are left to retransmit while they do, and then
+        try again. Servers that are known to be cold stay so for longer than that.
+        """
+        is_silent = any(
+            self._selector.is_suspect(server, now)
+            for server, _ in exclusion.withheld.values()
+        )
+        will_retransmit = n_retransmissions < len(RETRANSMIT_MILLIS)
+        if is_silent and will_retransmit:
+            refused = ALL_SILENT
+        else:
+            refused = DEFERRED if may_wait(route) else OVERLOADED
         self._counters["openings_all_cold"] += 1
-        name = "deferred" if is_deferred else "overloaded"
-        self._counters[f"openings_{name}"] += 1
-        return DEFERRED if is_deferred else OVERLOADED
+        self._counters[f"openings_{refused.kind.value}"] += 1
+        return refused
--- a/packages/stoattray-core/src/stoattray_core/steering/openings.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/openings.py
@@ -13,7 +13,12 @@
 from stoattray_core.steering.admission import Overload
 from stoattray_core.steering.cluster_state import ClusterState
 from stoattray_core.steering.deferral import DeferredOpenings
-from stoattray_core.steering.flow_placement import DEFERRED, OVERLOADED, FlowPlacement
+from stoattray_core.steering.flow_placement import (
+    ALL_SILENT,
+    DEFERRED,
+    OVERLOADED,
+    FlowPlacement,
+)
 from stoattray_core.steering.flows import FlowRow, FlowTable
 from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.opening_log import OpeningLog
@@ -139,9 +144,10 @@
             self._log.note_refused(packet, server, now)
             has_levels = server.refusal is not None
             reason = DEFERRED if server.is_deferred else OVERLOADED
-            return self._refuse(packet, flow, reason, now, has_levels=has_levels)
+            return self._refuse(packet, flow, reason, now, is_remembered=has_levels)
         if isinstance(server, Refused):
-            return self._refuse(packet, flow, server, now)
+            is_remembered = server is ALL_SILENT
+            return self._refuse(packet, flow, server, now, is_remembered=is_remembered)
         self._deferred.forget(packet.key)
         self._warm_up.note_opening(server, now)
         if flow is None:
@@ -226,20 +232,21 @@
         reason: Refused,
         now: Millis,
         *,
-        has_levels: bool = False,
+        is_remembered: bool = False,
     ) -> Refused:
         """Return `reason`, or `POSSIBLY_OPEN` if the flow may be open somewhere.
 
-        Deferred openings are remembered only for services with priority levels.
+        Openings that are deferred after a start are not remembered, so that their
+        retransmissions are never reset.
         """
         n_retransmissions = packet.n_retransmissions
         if flow is not None or not self._deferred.has_all_before(
             packet.key, n_retransmissions, now
         ):
             return POSSIBLY_OPEN
-        if reason is not DEFERRED:
+        if reason.kind is not ErrorKind.DEFERRED:
             self._deferred.forget(packet.key)
-        elif has_levels:
+        elif is_remembered:
             self._deferred.note_deferred(packet.key, n_retransmissions, now)
         return reason
 
--- a/packages/stoattray-core/src/stoattray_core/steering/server_selector.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/server_selector.py
@@ -71,6 +71,10 @@
         self._silence_detector = silence_detector
         self._random = random
 
+    def is_suspect(self, row: ServerRow, now: Millis) -> bool:
+        """Return whether a server or its whole data centre is deprioritised."""
+        return self._silence_detector.is_suspect(row, now)
+
     def has_usable(self, rows: Sequence[ServerRow], now: Millis) -> bool:
         """Return whether any of `rows` accepts flows and is not suspect."""
         return any(
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -28,6 +28,7 @@
 from stoattray_core.steering.flows import FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
+from stoattray_core.steering.isolation import Isolation
 from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.locality import RemoteTrafficSettings
 from stoattray_core.steering.members import MemberTable
@@ -155,10 +156,12 @@
                 on_event=on_event,
             )
             self._response_monitor.on_response = self.remote_traffic.note_response
+        self.isolation = Isolation(self.cluster_state.confirmed_age)
         placement = FlowPlacement(
             self.cluster_state,
             selector,
             self._admission,
+            isolation=self.isolation,
             warm_up=self.warm_up,
             service_time=self._service_time,
             counters=self.counters,
--- a/tests/evacuation_fleet.py
+++ b/tests/evacuation_fleet.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.isolation import CHECK_TIMEOUT_MILLIS
 from stoattray_core.steering.replica import Difference, Record
 from tests.simulated_fleet import Host, Layout, SimulatedFleet
 from tests.steering_builders import Balancer, heartbeat
@@ -19,6 +20,9 @@
 BOUND_MILLIS = 5_000
 """The users' limit from the acknowledgement of an evacuation to the last opening."""
 
+CONNECT_MILLIS = 4
+"""Time until the store answers a new connection."""
+
 LEARNED_MILLIS = 1_300
 """Time after which every balancer in contact knows of a change here: one read, and two
 rounds of heartbeats."""
@@ -56,6 +60,7 @@
     ) -> None:
         self.openings: list[Opening] = []
         self.without_store: set[str] = set()
+        self._checking: set[str] = set()
         super().__init__(layout=Layout(data_centres), **options)
         self._store_revision = self.all_balancers[0].steering.replica.revision
         self._history: list[Record] = []
@@ -89,6 +94,9 @@
             for data_centre in self.layout.data_centres:
                 if data_centre not in self.without_store | self.cut_off:
                     self._read(data_centre)
+        for balancer in self.running_balancers:
+            if balancer.steering.isolation.wants_check(self.now):
+                self._check_isolation(balancer)
 
     def is_reachable(self, balancer: Balancer, host: Host) -> bool:
         """Return whether an opening reaches a host, and record it if it does."""
@@ -99,8 +107,26 @@
             )
         return is_reached
 
+    def _check_isolation(self, balancer: Balancer) -> None:
+        """Let a balancer try a connection to the store, unless it does already."""
+        name, started_at = balancer.own.name, self.now
+        if name in self._checking:
+            return
+        unreachable = self.without_store | self.cut_off
+        is_reached = balancer.own.data_centre not in unreachable
+        self._checking.add(name)
+
+        def finish() -> None:
+            self._checking.discard(name)
+            balancer.steering.isolation.note_check(
+                is_reached=is_reached, started_at=started_at, now=self.now
+            )
+
+        self.schedule(CONNECT_MILLIS if is_reached else CHECK_TIMEOUT_MILLIS, finish)
+
     def _write(self, data_centre: str, value: bytes | None) -> int:
-        self._store_revision += 1
+        declared = self.all_balancers[0].steering.replica.revision
+        self._store_revision = max(self._store_revision, declared) + 1
         key = f"evacuations/{data_centre}"
         self._history.append(Record(key, self._store_revision, value))
         return self.now
