--- a/packages/stoattray-core/src/stoattray_core/steering/isolation.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/isolation.py
@@ -6,10 +6,12 @@
 are silent or the path is cut. A balancer with a path to the store is not isolated.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.heartbeat import MAX_CONFIRMED_AGE_MILLIS
+from stoattray_core.steering.protocols import EventSink
 
 CHECK_TIMEOUT_MILLIS = 250
 """Limit for a connection to the store, which takes a few milliseconds."""
@@ -35,10 +37,22 @@
     ----------
     confirmed_age : callable
         Returns how long ago the replica was confirmed complete at a time.
+    counters : Counter
+        Counts the checks by result.
+    on_event : EventSink
+        Receives an event once checks show that this balancer is isolated.
     """
 
-    def __init__(self, confirmed_age: Callable[[Millis], Millis]) -> None:
+    def __init__(
+        self,
+        confirmed_age: Callable[[Millis], Millis],
+        *,
+        counters: Counter[str],
+        on_event: EventSink,
+    ) -> None:
         self._confirmed_age = confirmed_age
+        self._counters = counters
+        self._on_event = on_event
         self._no_server_at: Millis | None = None
         self._failed_at: Millis | None = None
         self._n_failed = 0
@@ -55,10 +69,14 @@
     def note_check(self, *, is_reached: bool, started_at: Millis, now: Millis) -> None:
         """Note whether a connection to the store was answered."""
         if is_reached:
+            self._counters["isolation_checks_reached"] += 1
             self._n_failed = 0
         elif now - started_at <= CHECK_TIMEOUT_MILLIS + MAX_CHECK_DELAY_MILLIS:
+            self._counters["isolation_checks_failed"] += 1
             self._n_failed = 1 if not self._is_recent(now) else self._n_failed + 1
             self._failed_at = now
+            if self._n_failed == N_FAILED_CHECKS:
+                self._on_event("isolated", confirmed_age_ms=self._confirmed_age(now))
 
     def is_isolated(self, now: Millis) -> bool:
         """Return whether this balancer is cut off from the store and its readers."""
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -156,7 +156,9 @@
                 on_event=on_event,
             )
             self._response_monitor.on_response = self.remote_traffic.note_response
-        self.isolation = Isolation(self.cluster_state.confirmed_age)
+        self.isolation = Isolation(
+            self.cluster_state.confirmed_age, counters=self.counters, on_event=on_event
+        )
         placement = FlowPlacement(
             self.cluster_state,
             selector,
