--- /dev/null
+++ b/deploy/tests/test_store_client.py
@@ -0,0 +1,66 @@
+"""Client of the platform's store: a read whose request was sent early."""
+
+import json
+import socket
+import threading
+import unittest
+
+from stoattray_balancer.steering.early_request import send_early
+from stoattray_platform.early_read import FIRST_PAGE_PATH
+from stoattray_platform.store_client import PlatformStoreClient
+
+HOST = "127.0.0.1"
+
+
+def page(revision):
+    """Return the store's answer with no records."""
+    body = json.dumps({"items": [], "has_more": False, "store_revision": revision})
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return (head + body).encode()
+
+
+class EarlyReadTest(unittest.TestCase):
+    """A store that answers its connections in turn."""
+
+    def setUp(self):
+        self.store = socket.create_server((HOST, 0))
+        self.addCleanup(self.store.close)
+        self.port = self.store.getsockname()[1]
+        self.requests = []
+
+    def serve(self, answers):
+        """Answer one connection each; an empty answer closes it."""
+
+        def run():
+            for answer in answers:
+                connection, _ = self.store.accept()
+                with connection:
+                    self.requests.append(connection.recv(1_000))
+                    connection.sendall(answer)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 2.0)
+
+    def read(self):
+        early = send_early(f"{HOST}:{self.port}", FIRST_PAGE_PATH)
+        client = PlatformStoreClient((HOST, self.port), calls_per_second=100)
+        client.adopt(early)
+        return client.read_all()
+
+    def test_answer_to_the_early_request_is_used(self):
+        self.serve([page(7)])
+        self.assertEqual(self.read().revision, 7)
+        self.assertEqual(len(self.requests), 1)
+
+    def test_lost_answer_is_asked_for_again_at_once(self):
+        """Guards against a start that waits for its next turn to read."""
+        self.serve([b"", page(8)])
+        self.assertEqual(self.read().revision, 8)
+        self.assertEqual(len(self.requests), 2)
+        for request in self.requests:
+            self.assertTrue(request.startswith(b"GET /api/kv-range?prefix= HTTP/1.1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
