core: a heartbeat from another data centre ends isolation

A choked link of a balancer delays its connections to the store and the follow-ups of its openings alike, so it could take itself to be isolated and use evacuated servers while it is in touch.

Change: heartbeats from other data centres, which arrive on the way that is not choked, reset the failed checks.

Measured: unit test, and a fleet test whose store and servers elsewhere are silent for one data centre while peers are heard; both fail without the change.

--- a/packages/stoattray-core/src/stoattray_core/steering/isolation.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/isolation.py
@@ -3,7 +3,9 @@
 Only then may an evacuated data centre use its own servers, as nothing else can serve
 its callers. A replica that nobody confirms shows it after two seconds. Openings find no
 usable server elsewhere sooner; new connections to the store then tell whether servers
-are silent or the path is cut. A balancer with a path to the store is not isolated.
+are silent or the path is cut. A balancer with a path to the store is not isolated, nor
+is one that hears from another data centre: a choked link delays connections and
+openings alike.
 """
 
 from collections import Counter
@@ -78,6 +80,10 @@
             if self._n_failed == N_FAILED_CHECKS:
                 self._on_event("isolated", confirmed_age_ms=self._confirmed_age(now))
 
+    def note_contact(self) -> None:
+        """Note a heartbeat from another data centre."""
+        self._n_failed = 0
+
     def is_isolated(self, now: Millis) -> bool:
         """Return whether this balancer is cut off from the store and its readers."""
         if self._confirmed_age(now) > MAX_CONFIRMED_AGE_MILLIS:
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -102,6 +102,11 @@
         self._readers = ReaderTable(own.name)
         self._liveness_timeout_millis: Millis = LIVENESS_TIMEOUT_MILLIS
 
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre of this balancer."""
+        return self._own.data_centre
+
     @property
     def rows(self) -> Collection[MemberRow]:
         """Return all rows."""
--- a/packages/stoattray-core/src/stoattray_core/steering/peer_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/peer_state.py
@@ -5,6 +5,7 @@
 from stoattray_core.steering.contention import Contention
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.isolation import Isolation
 from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.peer_reports import PeerReports
@@ -30,6 +31,8 @@
         Applies the load and failures that peers report.
     warm_up : WarmUpLimit
         Relies on the replica's confirmation.
+    isolation : Isolation
+        Ends with a heartbeat from another data centre.
     remote_traffic : RemoteTraffic or None
         Loads of data centres; None if the traffic between them is not limited.
     contention : Contention
@@ -44,6 +47,7 @@
         peer_reports: PeerReports,
         *,
         warm_up: WarmUpLimit,
+        isolation: Isolation,
         remote_traffic: RemoteTraffic | None,
         contention: Contention,
     ) -> None:
@@ -52,6 +56,7 @@
         self._members = members
         self._peer_reports = peer_reports
         self._warm_up = warm_up
+        self._isolation = isolation
         self._remote_traffic = remote_traffic
         self._contention = contention
 
@@ -92,6 +97,8 @@
             Whether it came with requested changes, which may have taken long.
         """
         was_silent = self._members.receive_heartbeat(heartbeat, now)
+        if heartbeat.member.data_centre != self._members.data_centre:
+            self._isolation.note_contact()
         self._peer_reports.apply(heartbeat, now)
         if self._remote_traffic is not None:
             self._remote_traffic.merge(heartbeat.load_rows, now)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -191,6 +191,7 @@
             self.members,
             self._peer_reports,
             warm_up=self.warm_up,
+            isolation=self.isolation,
             remote_traffic=self.remote_traffic,
             contention=self._contention,
         )
--- a/tests/core/steering/test_isolated_data_centre.py
+++ b/tests/core/steering/test_isolated_data_centre.py
@@ -68,6 +68,18 @@
         self.fleet.step_for(1_500)
         self.assertEqual(self.fleet.openings_after(at, FIRST), [])
 
+    def test_store_and_servers_that_are_unreachable_do_not_isolate_beside_a_peer(self):
+        """Guards against openings there from a balancer that hears of others.
+
+        Its link may be choked, so that connections and openings take too long.
+        """
+        for host in self.fleet.hosts.values():
+            host.is_unresponsive = host.data_centre != FIRST
+        self.fleet.without_store = {FIRST}
+        at = self.fleet.now
+        self.fleet.step_for(1_500)
+        self.assertEqual(self.fleet.openings_after(at, FIRST), [])
+
     def test_store_and_servers_elsewhere_that_are_unreachable_isolate(self):
         """Guards against a balancer that waits two seconds for what it can ask."""
         self.fleet.cut_off = {FIRST}
--- a/tests/core/steering/test_isolation.py
+++ b/tests/core/steering/test_isolation.py
@@ -50,6 +50,15 @@
         self.assertFalse(self.check(is_reached=True, millis=4))
         self.assertFalse(self.check())
 
+    def test_heartbeat_from_another_data_centre_ends_it(self):
+        """Guards against a choked link, which delays connections and openings alike."""
+        self.check()
+        self.isolation.note_contact()
+        self.assertFalse(self.check())
+        self.assertTrue(self.check())
+        self.isolation.note_contact()
+        self.assertFalse(self.isolation.is_isolated(self.now))
+
     def test_failed_checks_hold_for_a_time(self):
         self.check()
         self.check()
