start: the archive of modules can be moved with its packages

Cause: found by reading. The archive named its folder and was not used elsewhere, so a build that is shown to the processes at another path would start as slowly as before, and silently.

Change: files beside the archive are stored relative to it.

--- a/deploy/archive_modules.py
+++ b/deploy/archive_modules.py
@@ -36,14 +36,14 @@
 
 def main() -> int:
     """Write the archive."""
-    path = Path(sys.argv[1]).resolve() / ARCHIVE
+    folder = Path(sys.argv[1]).resolve()
     for name in MODULES:
         import_module(name)
     codes = {
-        name: (file, is_package, code)
+        name: (file.removeprefix(f"{folder}/"), is_package, code)
         for name, file, is_package, code in compiled_modules()
     }
-    path.write_bytes(format_archive(str(path), codes))
+    (folder / ARCHIVE).write_bytes(format_archive(codes))
     return 0
 
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/module_archive.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/module_archive.py
@@ -5,6 +5,7 @@
 """
 
 import marshal
+import os
 import sys
 from importlib.machinery import ModuleSpec
 from types import CodeType, ModuleType
@@ -18,11 +19,16 @@
 
     Parameters
     ----------
+    folder : str
+        Folder of the archive, which relative files are in.
     modules : dict of str to (str, bool, bytes)
         File, whether it is a package, and marshalled code of each module by name.
     """
 
-    def __init__(self, modules: dict[str, tuple[str, bool, bytes]]) -> None:
+    def __init__(
+        self, folder: str, modules: dict[str, tuple[str, bool, bytes]]
+    ) -> None:
+        self._folder = folder
         self._modules = modules
 
     def find_spec(
@@ -33,6 +39,7 @@
         if entry is None:
             return None
         file, is_package, _ = entry
+        file = os.path.join(self._folder, file)
         spec = ModuleSpec(name, self, origin=file, is_package=is_package)
         spec.has_location = True
         if is_package:
@@ -54,8 +61,8 @@
     Parameters
     ----------
     path : str
-        The archive. One that is missing, or that another interpreter wrote for
-        another folder, is not used.
+        The archive. One that is missing or damaged, or that another interpreter
+        wrote, is not used.
 
     Returns
     -------
@@ -67,29 +74,28 @@
             tag, modules = marshal.loads(file.read())
     except (OSError, ValueError, EOFError, TypeError):
         return False
-    if tag != archive_tag(path):
+    if tag != interpreter_tag():
         return False
-    sys.meta_path.insert(0, ModuleArchive(modules))
+    sys.meta_path.insert(0, ModuleArchive(os.path.dirname(path), modules))
     return True
 
 
-def format_archive(path: str, codes: dict[str, tuple[str, bool, CodeType]]) -> bytes:
-    """Return the contents of an archive that is to be stored at a path.
+def format_archive(codes: dict[str, tuple[str, bool, CodeType]]) -> bytes:
+    """Return the contents of an archive.
 
     Parameters
     ----------
-    path : str
-        Absolute path of the archive.
     codes : dict of str to (str, bool, CodeType)
-        File, whether it is a package, and code of each module by name.
+        File, whether it is a package, and code of each module by name. Relative
+        files are in the folder of the archive, so that both can be moved.
     """
     modules = {
         name: (file, is_package, marshal.dumps(code))
         for name, (file, is_package, code) in codes.items()
     }
-    return marshal.dumps((archive_tag(path), modules))
+    return marshal.dumps((interpreter_tag(), modules))
 
 
-def archive_tag(path: str) -> tuple[str, str, str]:
-    """Return what an archive depends on: interpreter, its folder and the archive's."""
-    return sys.version, sys.base_prefix, path
+def interpreter_tag() -> tuple[str, str]:
+    """Return what an archive depends on: version and folder of the interpreter."""
+    return sys.version, sys.base_prefix
