Openings: none with later transmissions after a pause of 0.5 s

Cause: the woken balancer forwarded queued openings to servers of its own choice, though routers had sent the callers' retransmissions to other balancers, by way of which the flows were open. The second SYN+ACK left the wrong cookie with the caller. Openings were dropped only after pauses of 2.4 s.

Change: after a pause of 0.5 s (two missed readiness checks) only the last transmission of an opening is forwarded from the backlog. The same cause on two related paths: openings from before the pause are not retried at another server, and the backlog lasts until the socket was empty, not 50 ms.

test_openings_queued_during_a_short_pause_make_no_server_suspect opened a first transmission after 1 s, which is now dropped. It now opens one after 0.4 s, and a last transmission after 1 s, with the same assertions.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/packet_forwarder.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/packet_forwarder.py
@@ -127,6 +127,7 @@
                 self._on_event("datagram_unread", error=repr(error))
                 return
             self._handle_packet(data)
+        self._steering.note_queued_packets(self._clock())
 
     def _handle_packet(self, data: bytes) -> None:
         if self.last_packet_at == 0:
--- a/packages/stoattray-core/src/stoattray_core/steering/openings.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/openings.py
@@ -12,7 +12,7 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.admission import Overload
 from stoattray_core.steering.cluster_state import ClusterState
-from stoattray_core.steering.deferral import DeferredOpenings
+from stoattray_core.steering.deferral import RETRANSMIT_MILLIS, DeferredOpenings
 from stoattray_core.steering.flow_placement import (
     ALL_SILENT,
     DEFERRED,
@@ -41,6 +41,19 @@
 """Target latencies for which a request counts as pending. Admission control keeps
 responses faster, so an older one was most likely answered unseen."""
 
+BACKLOG_MILLIS = 50
+"""Packets read within this time after a start or a pause were queued in the socket.
+Their callers may have given up, so a missing follow-up is no sign of a failed
+server."""
+
+ROUTER_TIMEOUT_MILLIS = 500
+"""Shortest pause after which routers may have sent packets to other balancers: two
+readiness checks, half a second apart, were missed."""
+
+OUTDATED_PAUSE_MILLIS = 2_400
+"""After a longer pause, all queued openings are dropped: routers stop sending to this
+balancer after 1 s, and callers give up an unanswered opening after 1.4 s."""
+
 CALLER_ADDRESS_BYTES = 4
 """A flow's key begins with the caller's IPv4 address."""
 
@@ -81,10 +94,9 @@
     ----------
     follow_up_times : Histogram
         Times to the follow-up of openings.
-    detect_silence_from : Millis
-        Until then, openings without follow-up say nothing about servers.
-    drop_until : Millis
-        Until then, openings are dropped as outdated.
+    backlog_until : Millis
+        Until then, packets are read that were queued during a start or a pause, and
+        openings without follow-up say nothing about servers.
     """
 
     def __init__(
@@ -103,8 +115,8 @@
         on_event: EventSink,
     ) -> None:
         self.follow_up_times = Histogram()
-        self.detect_silence_from: Millis = 0
-        self.drop_until: Millis = 0
+        self.backlog_until: Millis = 0
+        self._pause_millis: Millis = 0
         self._cluster_state = cluster_state
         self._servers = servers
         self._flows = flows
@@ -118,6 +130,16 @@
         self._on_event = on_event
         self._deferred = DeferredOpenings()
 
+    def begin_backlog(self, now: Millis, *, pause_millis: Millis = 0) -> None:
+        """Note that packets were queued during a start or a pause of this process."""
+        self.backlog_until = now + BACKLOG_MILLIS
+        self._pause_millis = pause_millis
+
+    def extend_backlog(self, now: Millis) -> None:
+        """Note that more packets are queued, which may be part of the backlog."""
+        if now < self.backlog_until:
+            self.backlog_until = now + BACKLOG_MILLIS
+
     def route(
         self, packet: Packet, flow: FlowRow | None, now: Millis
     ) -> ServerRow | Refused:
@@ -130,7 +152,7 @@
             return self._repeat(flow, now)
         if not self._is_ready():
             return NOT_READY
-        if now < self.drop_until:
+        if self._is_outdated(packet, now):
             return HELD_TOO_LONG
         avoid = flow.tried_servers if flow is not None else []
         server = self._placement.select(
@@ -176,6 +198,20 @@
             self._on_event("backend_server_answers", server=flow.server.name)
         self._flows.establish(flow)
 
+    def defer_overdue(self, flow: FlowRow, now: Millis) -> bool:
+        """Return whether an overdue opening is left alone for now.
+
+        Its follow-up may be part of the backlog. After a pause in which routers may
+        have used other balancers it is not retried at all, as the follow-up or a
+        retransmission may have been sent to them.
+        """
+        if now >= self.backlog_until:
+            return False
+        if self._pause_millis < ROUTER_TIMEOUT_MILLIS:
+            flow.follow_up_due_at = self.backlog_until
+            self._flows.await_follow_up(flow)
+        return True
+
     def retry_overdue(
         self, flow: FlowRow, now: Millis
     ) -> tuple[ServerRow, bytes] | None:
@@ -225,6 +261,17 @@
         """Remove deferred openings that their callers gave up."""
         self._deferred.expire(now)
 
+    def _is_outdated(self, packet: Packet, now: Millis) -> bool:
+        """Return whether an opening was queued so long that its flow may be open.
+
+        Routers may have sent the caller's retransmissions to other balancers, which
+        select other servers. Of its last one there is no later transmission.
+        """
+        if now >= self.backlog_until or self._pause_millis < ROUTER_TIMEOUT_MILLIS:
+            return False
+        is_last = packet.n_retransmissions >= len(RETRANSMIT_MILLIS)
+        return self._pause_millis >= OUTDATED_PAUSE_MILLIS or not is_last
+
     def _refuse(
         self,
         packet: Packet,
@@ -272,7 +319,7 @@
             follow_up_due_at=now + self._silence_detector.follow_up_timeout_millis,
             request_timeout_millis=self._request_timeout_millis(packet.destination),
         )
-        self._flows.open(flow, awaits_follow_up=now >= self.detect_silence_from)
+        self._flows.open(flow, awaits_follow_up=now >= self.backlog_until)
         self._log.note_opened(packet, server, now)
 
     def _request_timeout_millis(self, destination: bytes) -> Millis:
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -53,15 +53,6 @@
 """A longer gap between two ticks means that this process was paused, so openings
 without follow-up are no sign of a failed server. Ticks run every 5 ms."""
 
-BACKLOG_MILLIS = 50
-"""Packets read within this time after a start or a pause were queued in the socket.
-Their callers may have given up, so a missing follow-up is no sign of a failed
-server."""
-
-OUTDATED_PAUSE_MILLIS = 2_400
-"""After a longer pause, queued openings are dropped: routers stop sending to this
-balancer after 1 s, and callers give up an unanswered opening after 1.4 s."""
-
 UNKNOWN_COOKIE = Refused(ErrorKind.UNKNOWN_COOKIE)
 
 
@@ -289,7 +280,7 @@
 
     def exclude_backlog(self, now: Millis) -> None:
         """Exclude packets queued before the start from silence detection."""
-        self._openings.detect_silence_from = now + BACKLOG_MILLIS
+        self._openings.begin_backlog(now)
         self._admission.start(now)
 
     def apply_changes(self, difference: Difference, now: Millis) -> None:
@@ -343,19 +334,19 @@
         if last_tick_at is None or now - last_tick_at <= MAX_TICK_GAP_MILLIS:
             return
         pause = now - last_tick_at
-        self._openings.detect_silence_from = now + BACKLOG_MILLIS
-        if pause >= OUTDATED_PAUSE_MILLIS:
-            self._openings.drop_until = now + BACKLOG_MILLIS
+        self._openings.begin_backlog(now, pause_millis=pause)
         self._on_event("woke", pause_ms=pause)
 
+    def note_queued_packets(self, now: Millis) -> None:
+        """Note that packets are still queued after a batch of them was read."""
+        self._openings.extend_backlog(now)
+
     def tick(self, now: Millis) -> Iterator[tuple[ServerRow, bytes]]:
         """Check overdue openings; yield those to retry, with the next server."""
         self.detect_pause(now)
         self._flows.expire_requests(now)
         for flow in self._flows.pop_overdue(now):
-            if now < self._openings.detect_silence_from:
-                flow.follow_up_due_at = self._openings.detect_silence_from
-                self._flows.await_follow_up(flow)
+            if self._openings.defer_overdue(flow, now):
                 continue
             resend = self._openings.retry_overdue(flow, now)
             if resend is not None:
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -243,13 +243,46 @@
         self.assertIn(balancer.open().name, ("i-01", "i-02"))
 
     def test_openings_queued_during_a_short_pause_make_no_server_suspect(self):
+        for pause_millis, n_retransmissions in ((400, 0), (1_000, 2)):
+            balancer = balancer_with("i-01", "i-02")
+            balancer.advance(10)
+            balancer.now += pause_millis
+            balancer.steering.detect_pause(balancer.now)
+            server = balancer.open(n_retransmissions=n_retransmissions)
+            self.assertEqual(balancer.advance(1_000), [])
+            self.assertFalse(server.is_suspect(balancer.now))
+
+    def test_opening_that_other_balancers_may_have_got_is_not_forwarded_late(self):
+        """Guards against a second server for a flow that opened during a pause."""
+        for n_retransmissions in (0, 1):
+            balancer = balancer_with("i-01", "i-02")
+            balancer.advance(10)
+            balancer.now += 1_000
+            balancer.steering.detect_pause(balancer.now)
+            refused = balancer.open(n_retransmissions=n_retransmissions)
+            self.assertEqual(refused.kind, ErrorKind.HELD_TOO_LONG)
+            self.assertIs(ERROR_RESPONSES[refused.kind].packet, PacketResponse.NONE)
+
+    def test_opening_late_in_a_long_backlog_is_not_forwarded(self):
+        """Guards against a backlog that takes longer to read than expected."""
         balancer = balancer_with("i-01", "i-02")
         balancer.advance(10)
         balancer.now += 1_000
-        balancer.steering.detect_pause(balancer.now)
-        server = balancer.open()
+        for _ in range(20):
+            balancer.steering.detect_pause(balancer.now)
+            self.assertEqual(balancer.open().kind, ErrorKind.HELD_TOO_LONG)
+            balancer.steering.note_queued_packets(balancer.now)
+            balancer.now += 20
+        balancer.advance(60)
+        self.assertIn(balancer.open().name, ("i-01", "i-02"))
+
+    def test_opening_sent_before_a_pause_is_not_retried_after_it(self):
+        """Guards against a second server for a flow whose caller went elsewhere."""
+        balancer = balancer_with("i-01", "i-02")
+        balancer.advance(10)
+        balancer.open()
+        balancer.now += 1_000
         self.assertEqual(balancer.advance(1_000), [])
-        self.assertFalse(server.is_suspect(balancer.now))
 
     def test_packets_queued_before_the_start_make_no_server_suspect(self):
         balancer = balancer_with("i-01", "i-02")
