Pinned flows: a flow whose opening reached two servers stays at its own

Cause: an opening without follow-up is retried at a second server. The first one repeats its SYN+ACK, whose cookie is then the last that the caller received. Only the table of the balancer that opened the flow knew its server, and that balancer stops.

Change: such a flow is pinned, and balancers exchange pins: as the last field of heartbeats, at once when a flow is pinned, all of them to starting and returning members. Balancers without the flow's row follow the pin in place of the cookie. Numbers of the packets tell later flows from the same port apart. Related paths: transmissions that routers send to another balancer, and packets that carry another server's cookie, pin the flow, too. Earlier releases ignore the field; a heartbeat without pins has the bytes of before.

test_field_of_a_later_version_is_ignored appends a field after the last known one, so it now sends pins, too.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -19,6 +19,7 @@
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.load_reports import MAX_ROWS, LoadRow
+from stoattray_core.steering.pinned_flows import PinnedFlow
 from stoattray_core.steering.replica import Difference, Record, Version
 
 FORMAT_VERSION = 1
@@ -60,7 +61,11 @@
 
 def _appended_fields(heartbeat: Heartbeat) -> list[Any]:
     """Return the trailing fields, without those at the end that have their default."""
-    fields: list[Any] = [_pack_load_rows(heartbeat.load_rows), heartbeat.cut_offs]
+    fields: list[Any] = [
+        _pack_load_rows(heartbeat.load_rows),
+        heartbeat.cut_offs,
+        heartbeat.pinned_flows,
+    ]
     while fields and not fields[-1]:
         del fields[-1]
     return fields
@@ -86,6 +91,7 @@
         era = row[11] if len(row) > 11 else 0
         load_rows = row[12] if len(row) > 12 else ()
         cut_offs = row[13] if len(row) > 13 else ()
+        pinned_flows = row[14] if len(row) > 14 else ()
         if version != FORMAT_VERSION:
             return Refused(
                 ErrorKind.MESSAGE_BAD_VERSION, f"unsupported version {version!r}"
@@ -107,6 +113,7 @@
             era=_read_number(era),
             load_rows=_read_load_rows(load_rows),
             cut_offs=tuple(_read_cut_off(cut_off) for cut_off in cut_offs),
+            pinned_flows=tuple(_read_pinned_flow(pin) for pin in pinned_flows),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
@@ -236,6 +243,14 @@
     )
 
 
+def _read_pinned_flow(row: Any) -> PinnedFlow:
+    key, cookie, sequence, acknowledgement, age, *_ = row
+    if not isinstance(key, bytes):
+        raise TypeError("key of a pinned flow must be bytes")
+    numbers = (cookie, sequence, acknowledgement, age)
+    return PinnedFlow(key, *(_read_number(number) for number in numbers))
+
+
 def _pack_load_rows(rows: tuple[LoadRow, ...]) -> list[list[Any]]:
     """Return rows by data centre, so that its name is sent once."""
     packed: dict[str, list[Any]] = {}
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from stoattray_balancer._throttling import RateLimiter
@@ -31,6 +32,7 @@
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.heartbeat import Heartbeat
+from stoattray_core.steering.pinned_flows import PinnedFlow
 from stoattray_core.steering.protocols import EventSink
 from stoattray_core.steering.replica import Difference
 from stoattray_core.steering.steering import Steering
@@ -42,6 +44,13 @@
 REMOTE_HEARTBEAT_EVERY = 3
 """One in this many heartbeats also goes to other data centres."""
 
+PIN_BATCH_SECONDS = 0.05
+"""Pause before a heartbeat that only announces pinned flows, so that it carries all of
+a burst. A router can move a flow to another balancer at any time."""
+
+N_PIN_SENDERS = 4
+"""Members of a data centre that send their pinned flows to a new one, on average."""
+
 N_LISTED_MEMBERS = 4
 """Members listed in each heartbeat; a new balancer learns all in a few seconds."""
 
@@ -138,6 +147,7 @@
         self._on_relayed = on_relayed
         self._on_event = on_event
         self._relay_limit = RateLimiter(RELAYS_PER_SECOND)
+        self._has_new_pins = Event()
         self._pulling_from: set[Address] = set()
         self._n_snapshots_sending = 0
         self._is_receiving_snapshot = False
@@ -172,6 +182,15 @@
             n_sent += 1
             gevent.sleep(HEARTBEAT_SECONDS)
 
+    def announce_pins(self) -> None:
+        """Send a heartbeat soon after a flow was pinned here, forever."""
+        self._steering.pinning.on_pinned = self._has_new_pins.set
+        while True:
+            self._has_new_pins.wait()
+            gevent.sleep(PIN_BATCH_SECONDS)
+            self._has_new_pins.clear()
+            self._send_heartbeats(include_remote=True)
+
     def pull_until_ready(self) -> None:
         """Pull from all seeds, then from ready members, until this balancer is ready.
 
@@ -209,7 +228,11 @@
         return peer.name if self._send_datagram(RELAY_PREFIX + data, peer) else None
 
     def build_heartbeat(
-        self, *, n_listed: int = N_LISTED_MEMBERS, includes_load: bool = False
+        self,
+        *,
+        n_listed: int = N_LISTED_MEMBERS,
+        includes_load: bool = False,
+        pinned_flows: tuple[PinnedFlow, ...] = (),
     ) -> Heartbeat:
         """Return a heartbeat with the current state of this balancer.
 
@@ -219,6 +242,8 @@
             Live members to list.
         includes_load : bool
             Whether to include the loads of data centres, if settings ask for them.
+        pinned_flows : tuple of PinnedFlow
+            Pinned flows to include.
         """
         steering = self._steering
         now = self._clock()
@@ -240,6 +265,7 @@
             ),
             load_rows=steering.load_rows(now) if includes_load else (),
             cut_offs=steering.cut_off_reports(now),
+            pinned_flows=pinned_flows,
         )
 
     def _send_heartbeats(self, *, include_remote: bool) -> None:
@@ -250,10 +276,24 @@
             return
         # Loads go into the heartbeats that also leave the data centre, one in three:
         # in all of them they would take up to 13 KB a second.
-        data = encode_heartbeat(self.build_heartbeat(includes_load=include_remote))
+        heartbeat = self.build_heartbeat(
+            includes_load=include_remote,
+            pinned_flows=self._steering.pinning.pins.pop_announcements(self._clock()),
+        )
+        data = encode_heartbeat(heartbeat)
         for entry in recipients:
             self._send_datagram(data, entry)
 
+    def _send_pins(self, entry: MemberEntry) -> None:
+        """Send all pinned flows to a member that may not have them."""
+        now = self._clock()
+        n_senders = len(self._steering.members.live_local(now))
+        if self._random.random() * n_senders >= N_PIN_SENDERS:
+            return
+        for pins in self._steering.pinning.pins.messages(now):
+            heartbeat = self.build_heartbeat(pinned_flows=pins)
+            self._send_datagram(encode_heartbeat(heartbeat), entry)
+
     def _send_datagram(self, data: bytes, entry: MemberEntry) -> bool:
         try:
             self._socket.sendto(data, (entry.host, self._peer_port))
@@ -284,6 +324,7 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         if self._steering.apply_heartbeat(heartbeat, self._clock()):
             self._on_event("member_heard", member=heartbeat.member.name)
+            self._send_pins(heartbeat.member)
         if heartbeat.version > self._steering.replica.version:
             address = (heartbeat.member.host, self._peer_port)
             may_pull = len(self._pulling_from) < MAX_CONCURRENT_PULLS
@@ -349,7 +390,10 @@
         ):
             difference = Difference(0, [], False)
             n_listed = N_LISTED_MEMBERS_WHEN_BUSY
-        heartbeat = self.build_heartbeat(n_listed=n_listed)
+        heartbeat = self.build_heartbeat(
+            n_listed=n_listed,
+            pinned_flows=self._steering.pinning.pins.all(self._clock()),
+        )
         data = encode_difference(
             heartbeat, difference, may_compress=request.may_compress
         )
--- a/packages/stoattray-core/src/stoattray_core/steering/flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/flows.py
@@ -8,6 +8,7 @@
 from collections import deque
 
 from stoattray_core._identifiers import Millis
+from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.servers import ServerRow
 
 
@@ -31,6 +32,10 @@
     request_timeout_millis : Millis
         How long a request counts as pending at its server. Its response may remain
         unseen, as routers can move the flow to another balancer.
+    opening_sequence : int
+        Sequence number of the opening.
+    has_other_openings : bool
+        Whether another balancer may have forwarded an earlier transmission of it.
 
     Attributes
     ----------
@@ -38,17 +43,23 @@
         By how much the requests before its own lengthen the response to it; at least 1.
     idle_since : Millis or None
         When its last request was answered; None before, and while one is pending.
+    first_sequence, first_acknowledgement : int
+        Numbers of the first packet after the opening; 0 until the flow is established.
     """
 
     __slots__ = (
         "destination",
+        "first_acknowledgement",
+        "first_sequence",
         "follow_up_due_at",
+        "has_other_openings",
         "idle_since",
         "is_counted_pending",
         "is_established",
         "key",
         "last_packet_at",
         "opening",
+        "opening_sequence",
         "queueing_factor",
         "request_timeout_millis",
         "requested_at",
@@ -67,6 +78,8 @@
         now: Millis,
         follow_up_due_at: Millis,
         request_timeout_millis: Millis,
+        opening_sequence: int,
+        has_other_openings: bool,
     ) -> None:
         self.key = key
         self.server = server
@@ -82,6 +95,10 @@
         self.is_counted_pending = False
         self.queueing_factor = 1.0
         self.idle_since: Millis | None = None
+        self.opening_sequence = opening_sequence
+        self.has_other_openings = has_other_openings
+        self.first_sequence = 0
+        self.first_acknowledgement = 0
 
 
 class FlowTable:
@@ -144,9 +161,11 @@
         row.tried_servers.append(server)
         row.sent_at = now
 
-    def establish(self, row: FlowRow) -> None:
+    def establish(self, row: FlowRow, packet: Packet) -> None:
         """Mark a flow as established by its first packet after the opening."""
         row.is_established = True
+        row.first_sequence = packet.sequence
+        row.first_acknowledgement = packet.acknowledgement
         row.opening = None
         row.server.n_half_open -= 1
 
--- a/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/heartbeat.py
@@ -6,6 +6,7 @@
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
 from stoattray_core.steering.load_reports import LoadRow
+from stoattray_core.steering.pinned_flows import PinnedFlow
 from stoattray_core.steering.replica import Version
 
 MAX_CONFIRMED_AGE_MILLIS = 2_200
@@ -47,6 +48,9 @@
         traffic between data centres.
     cut_offs : tuple of CutOffReport
         Cut-offs between priority levels that it measured, of services in contention.
+    pinned_flows : tuple of PinnedFlow
+        Flows that are pinned to a server; empty unless there are new ones, or the
+        recipient may not have them.
     """
 
     member: MemberEntry
@@ -62,6 +66,7 @@
     era: int = 0
     load_rows: tuple[LoadRow, ...] = ()
     cut_offs: tuple[CutOffReport, ...] = ()
+    pinned_flows: tuple[PinnedFlow, ...] = ()
 
     @property
     def version(self) -> Version:
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -112,6 +112,11 @@
         """Return all rows."""
         return self._rows.values()
 
+    @property
+    def samples_local_targets(self) -> bool:
+        """Return whether heartbeats go to a sample of this data centre's members."""
+        return sum(self._is_local(row.entry) for row in self.rows) > N_LOCAL_TARGETS
+
     def discover(self, entry: MemberEntry, now: Millis) -> None:
         """Add or update a member from a third party.
 
--- a/packages/stoattray-core/src/stoattray_core/steering/openings.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/openings.py
@@ -23,6 +23,7 @@
 from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.opening_log import OpeningLog
 from stoattray_core.steering.packet import Packet, flow_name
+from stoattray_core.steering.pinning import Pinning
 from stoattray_core.steering.protocols import EventSink
 from stoattray_core.steering.remote_traffic import RemoteTraffic
 from stoattray_core.steering.servers import ServerRow, ServerTable
@@ -81,6 +82,8 @@
         Limits the openings for cold servers.
     remote_traffic : RemoteTraffic or None
         Measures the round trips to data centres; None if traffic is not limited.
+    pinning : Pinning
+        Pins flows whose opening may be at several servers.
     is_ready : callable
         Returns whether packets can be forwarded.
     log : OpeningLog
@@ -109,6 +112,7 @@
         silence_detector: SilenceDetector,
         warm_up: WarmUpLimit,
         remote_traffic: RemoteTraffic | None,
+        pinning: Pinning,
         is_ready: Callable[[], bool],
         log: OpeningLog,
         counters: Counter[str],
@@ -124,6 +128,7 @@
         self._silence_detector = silence_detector
         self._warm_up = warm_up
         self._remote_traffic = remote_traffic
+        self._pinning = pinning
         self._is_ready = is_ready
         self._log = log
         self._counters = counters
@@ -154,6 +159,8 @@
             return NOT_READY
         if self._is_outdated(packet, now):
             return HELD_TOO_LONG
+        if self._pinning.is_open(packet):
+            return POSSIBLY_OPEN
         avoid = flow.tried_servers if flow is not None else []
         server = self._placement.select(
             packet.destination,
@@ -170,10 +177,13 @@
         if isinstance(server, Refused):
             is_remembered = server is ALL_SILENT
             return self._refuse(packet, flow, server, now, is_remembered=is_remembered)
+        has_others = flow is None and not self._deferred.has_all_before(
+            packet.key, packet.n_retransmissions, now
+        )
         self._deferred.forget(packet.key)
         self._warm_up.note_opening(server, now)
         if flow is None:
-            self._open(packet, server, now)
+            self._open(packet, server, now, has_other_openings=has_others)
         else:
             self._flows.retry(flow, server, now)
             flow.last_packet_at = now
@@ -183,7 +193,8 @@
         """Fix the server of a flow by the first packet that follows its opening.
 
         If the opening went to several servers, that packet's cookie names the one whose
-        answer it acknowledges. Later answers may change the cookie, but not the server.
+        answer it acknowledges. Later answers may change the cookie, but not the server;
+        the flow is pinned, so that other balancers know it, too.
         """
         named = self._servers.by_cookie(packet.cookie)
         if named is not None and named is not flow.server:
@@ -196,7 +207,8 @@
         self._warm_up.cold_servers.note_answer(flow.server, flow.sent_at, now)
         if self._silence_detector.note_follow_up(flow.server, waited_millis, now):
             self._on_event("backend_server_answers", server=flow.server.name)
-        self._flows.establish(flow)
+        self._flows.establish(flow, packet)
+        self._pinning.note_established(flow, now)
 
     def defer_overdue(self, flow: FlowRow, now: Millis) -> bool:
         """Return whether an overdue opening is left alone for now.
@@ -308,7 +320,14 @@
             return POSSIBLY_OPEN
         return flow.server
 
-    def _open(self, packet: Packet, server: ServerRow, now: Millis) -> None:
+    def _open(
+        self,
+        packet: Packet,
+        server: ServerRow,
+        now: Millis,
+        *,
+        has_other_openings: bool,
+    ) -> None:
         self._counters["flows_opened"] += 1
         flow = FlowRow(
             packet.key,
@@ -318,6 +337,8 @@
             now=now,
             follow_up_due_at=now + self._silence_detector.follow_up_timeout_millis,
             request_timeout_millis=self._request_timeout_millis(packet.destination),
+            opening_sequence=packet.sequence,
+            has_other_openings=has_other_openings,
         )
         self._flows.open(flow, awaits_follow_up=now >= self.backlog_until)
         self._log.note_opened(packet, server, now)
--- a/packages/stoattray-core/src/stoattray_core/steering/packet.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/packet.py
@@ -18,6 +18,9 @@
         Whether the caller opens the flow, or ends its side of it.
     n_retransmissions : int
         Number of earlier transmissions of this opening packet.
+    sequence, acknowledgement : int
+        Numbers of the caller's first byte in it, and of the next byte that the caller
+        expects; the latter has no meaning in opening packets.
     has_data : bool
         Whether it has a payload.
     data : bytes
@@ -30,6 +33,8 @@
     is_opening: bool
     is_ending: bool
     n_retransmissions: int
+    sequence: int
+    acknowledgement: int
     has_data: bool
     data: bytes
 
--- a/packages/stoattray-core/src/stoattray_core/steering/peer_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/peer_state.py
@@ -9,6 +9,7 @@
 from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.members import MemberTable
 from stoattray_core.steering.peer_reports import PeerReports
+from stoattray_core.steering.pinning import Pinning
 from stoattray_core.steering.priority_levels import CutOff
 from stoattray_core.steering.remote_traffic import RemoteTraffic
 from stoattray_core.steering.replica import Difference
@@ -37,6 +38,8 @@
         Loads of data centres; None if the traffic between them is not limited.
     contention : Contention
         Cut-offs between priority levels.
+    pinning : Pinning
+        Flows that are pinned to a server.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         isolation: Isolation,
         remote_traffic: RemoteTraffic | None,
         contention: Contention,
+        pinning: Pinning,
     ) -> None:
         self._cluster_state = cluster_state
         self._servers = servers
@@ -59,6 +63,7 @@
         self._isolation = isolation
         self._remote_traffic = remote_traffic
         self._contention = contention
+        self._pinning = pinning
 
     def reported_age(self, now: Millis) -> Millis:
         """Return the age of the confirmation that peers may rely on.
@@ -103,6 +108,16 @@
         if self._remote_traffic is not None:
             self._remote_traffic.merge(heartbeat.load_rows, now)
         self._contention.apply_reports(heartbeat.member.name, heartbeat.cut_offs, now)
+        if heartbeat.pinned_flows:
+            # Heartbeats reach all members of a small data centre at first hand.
+            passes_on = (
+                not is_response
+                and heartbeat.member.data_centre == self._members.data_centre
+                and self._members.samples_local_targets
+            )
+            self._pinning.merge(
+                heartbeat.pinned_flows, now, n_announcements=int(passes_on)
+            )
         if heartbeat.recovery_age is not None:
             self._cluster_state.store_health.note_peer_recovery(
                 heartbeat.recovery_age, now
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -3,7 +3,8 @@
 Invariants:
 
 1. A flow has one backend server. Its packets carry that server's cookie, so
-   every balancer forwards them there.
+   every balancer forwards them there. A flow whose packets may carry another
+   cookie is pinned.
 2. Each packet is forwarded behind a header that names the intended server.
 3. The configuration's version never decreases within one process.
 4. Only an opening packet whose flow cannot be open anywhere is reset, and only
@@ -37,6 +38,7 @@
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.peer_reports import PeerReports
 from stoattray_core.steering.peer_state import PeerState
+from stoattray_core.steering.pinning import Pinning
 from stoattray_core.steering.priority_levels import CutOff
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
 from stoattray_core.steering.remote_traffic import RemoteTraffic
@@ -112,6 +114,13 @@
         self._on_event = on_event
         self._silence_detector = SilenceDetector(own.data_centre)
         self._flows = FlowTable()
+        self.pinning = Pinning(
+            self.servers,
+            self._flows,
+            flow_life_millis,
+            counters=self.counters,
+            on_event=on_event,
+        )
         self._failure_detector = FastFailureDetector()
         self._contention = Contention(
             configuration=lambda: self.configuration,
@@ -169,6 +178,7 @@
             silence_detector=self._silence_detector,
             warm_up=self.warm_up,
             remote_traffic=self.remote_traffic,
+            pinning=self.pinning,
             is_ready=lambda: self.is_ready,
             log=OpeningLog(
                 own.data_centre, self.cluster_state, self._silence_detector, on_event
@@ -185,6 +195,7 @@
             isolation=self.isolation,
             remote_traffic=self.remote_traffic,
             contention=self._contention,
+            pinning=self.pinning,
         )
         self._last_tick_at: Millis | None = None
 
@@ -312,10 +323,12 @@
         if packet.is_opening:
             return self._openings.route(packet, flow, now)
         if flow is None:
-            return self.servers.by_cookie(packet.cookie) or UNKNOWN_COOKIE
+            return self.pinning.server(packet) or UNKNOWN_COOKIE
         flow.last_packet_at = now
         if not flow.is_established:
             self._openings.establish(flow, packet, now)
+        elif packet.cookie != flow.server.cookie:
+            self.pinning.note_cookie(flow, packet, now)
         self._response_monitor.note_packet(flow, packet, now)
         if packet.is_ending:
             self._flows.close(flow)
@@ -359,6 +372,7 @@
         for name in self.members.expire(now):
             self._on_event("member_silent", member=name)
         self.servers.expire(now)
+        self.pinning.pins.expire(now)
         self.warm_up.expire(now)
         self._response_monitor.expire_verdicts(now)
         self._contention.expire(now, n_balancers=1 + len(self.members.live(now)))
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -26,10 +26,17 @@
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.load_reports import MAX_ROWS, LoadRow
+from stoattray_core.steering.pinned_flows import PinnedFlow
 from stoattray_core.steering.replica import Difference, Record, Version
 from tests.steering_builders import heartbeat, member_entry
 
 N_FIELDS_BEFORE_CUT_OFFS = 13
+N_FIELDS_BEFORE_PINNED_FLOWS = 14
+
+PINS = (
+    PinnedFlow(bytes(12), 2**32 - 1, 2**32 - 1, 0, 59_999),
+    PinnedFlow(b"\xff" * 12, 1, 0, 2**32 - 1, 0),
+)
 
 ANY_VALUE = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.text() | st.binary(),
@@ -170,10 +177,36 @@
         cut_offs = (CutOffReport("lookup", 2, 250, 40),)
         for rows in ((), (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)):
             with self.subTest(rows):
-                sent = heartbeat(load_rows=rows, cut_offs=cut_offs)
+                sent = heartbeat(load_rows=rows, cut_offs=cut_offs, pinned_flows=PINS)
                 row = msgpack.unpackb(encode_heartbeat(sent), strict_map_key=False)
                 self.assertEqual(decode_heartbeat(msgpack.packb([*row, "new"])), sent)
 
+    def test_pinned_flows(self):
+        for changes in ({}, {"cut_offs": (CutOffReport("lookup", 2, 250, 40),)}):
+            sent = heartbeat(pinned_flows=PINS, **changes)
+            self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
+            difference = Difference(7, [Record("a", 7, b"x")], True)
+            data = encode_difference(sent, difference, may_compress=True)
+            self.assertEqual(decode_difference(data), (sent, difference))
+
+    def test_heartbeat_with_pinned_flows_is_read_by_earlier_releases(self):
+        """Guards against pins that take the place of an older field, or move one."""
+        row = msgpack.unpackb(encode_heartbeat(heartbeat(pinned_flows=PINS)))
+        self.assertEqual(len(row), N_FIELDS_BEFORE_PINNED_FLOWS + 1)
+        older = decode_heartbeat(msgpack.packb(row[:N_FIELDS_BEFORE_PINNED_FLOWS]))
+        self.assertEqual(older, heartbeat())
+
+    def test_heartbeat_without_pinned_flows_is_that_of_an_older_release(self):
+        sent = heartbeat(cut_offs=(CutOffReport("lookup", 2, 250, 40),))
+        row = msgpack.unpackb(encode_heartbeat(sent))
+        self.assertEqual(len(row), N_FIELDS_BEFORE_PINNED_FLOWS)
+
+    def test_malformed_pinned_flow_is_refused(self):
+        row = msgpack.unpackb(encode_heartbeat(heartbeat(pinned_flows=PINS)))
+        for pin in (["key", 1, 2, 3, 4], [b"key", -1, 2, 3, 4], [b"key", 1, 2], 7):
+            refused = decode_heartbeat(msgpack.packb([*row[:-1], [pin]]))
+            self.assertEqual(refused.kind, ErrorKind.MESSAGE_MALFORMED)
+
     def test_other_format_version_is_refused(self):
         row = msgpack.unpackb(encode_heartbeat(heartbeat()), strict_map_key=False)
         refused = decode_heartbeat(msgpack.packb([99, *row[1:]]))
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -17,6 +17,8 @@
 )
 from stoattray_balancer.steering._peer_codec import (
     SyncRequest,
+    decode_difference,
+    decode_heartbeat,
     decode_sync_request,
     encode_difference,
     encode_heartbeat,
@@ -24,20 +26,24 @@
 from stoattray_balancer.steering.peers import (
     MAX_CONCURRENT_SNAPSHOTS,
     MIN_SNAPSHOT_BYTES,
+    PIN_BATCH_SECONDS,
     Peers,
 )
 from stoattray_core.steering.load_reports import LoadRow
 from stoattray_core.steering.locality import RemoteTrafficSettings
+from stoattray_core.steering.pinned_flows import PinnedFlow
 from stoattray_core.steering.replica import Difference, Version
 from tests.steering_builders import (
     Balancer,
     configuration,
     heartbeat,
     member_entry,
+    opening,
     server_entry,
 )
 
 N_CHUNKS = 10
+N_PINS = 100
 
 
 class SlowLink:
@@ -103,6 +109,61 @@
         unlimited = self.peers.build_heartbeat(includes_load=True)
         self.assertEqual(unlimited.load_rows, ())
 
+    def test_starting_balancer_gets_all_pinned_flows_with_its_first_copy(self):
+        """Guards against resets by a balancer that starts during a roll."""
+        pins = self.pin_flows(N_PINS)
+        with self.sent_difference() as sent:
+            received, _ = decode_difference(sent())
+        self.assertEqual(received.pinned_flows, pins)
+
+    def test_newly_heard_member_gets_all_pinned_flows(self):
+        """Guards against a balancer that was cut off while flows were pinned."""
+        pins = self.pin_flows(N_PINS)
+        sent = []
+        self.peers._send_datagram = lambda data, entry: sent.append((data, entry.name))
+        for _ in range(2):
+            self.peers._handle_heartbeat(heartbeat("edge-2"))
+        received = [decode_heartbeat(data).pinned_flows for data, _ in sent]
+        self.assertEqual(tuple(pin for group in received for pin in group), pins)
+        self.assertEqual({name for _, name in sent}, {"edge-2"})
+        self.assertLess(max(len(data) for data, _ in sent), 1_472)
+
+    def test_new_pin_is_announced_at_once(self):
+        """Guards against a router that moves a flow before the next heartbeat."""
+        balancer = self.balancer
+        balancer.declare(configuration(), server_entry("i-01"), server_entry("i-02"))
+        balancer.steering.apply_heartbeat(heartbeat("edge-2"), balancer.now)
+        sent = []
+        self.peers._send_datagram = lambda data, entry: sent.append(data)
+        task = gevent.spawn(self.peers.announce_pins)
+        self.addCleanup(task.kill)
+        gevent.sleep(2 * PIN_BATCH_SECONDS)
+        self.assertEqual(sent, [])
+        balancer.open()
+        timeout = balancer.steering.follow_up_timeout_millis
+        [(server, _)] = balancer.advance(timeout + 5)
+        balancer.follow(40_000, server)
+        gevent.sleep(2 * PIN_BATCH_SECONDS)
+        self.assertEqual(len(sent), 1)
+        [pin] = decode_heartbeat(sent[0]).pinned_flows
+        self.assertEqual(pin.cookie, server.cookie)
+
+    def pin_flows(self, n_flows: int) -> tuple[PinnedFlow, ...]:
+        """Pin flows at the balancer; return their pins."""
+        pins = self.balancer.steering.pinning.pins
+        for number in range(n_flows):
+            pin = PinnedFlow(opening(number).key, 2**32 - 1, 2**32 - 1, 2**32 - 1)
+            pins.add(pin, self.balancer.now, n_announcements=0)
+        return pins.all(self.balancer.now)
+
+    @contextmanager
+    def sent_difference(self):
+        """Yield a function that returns what the balancer answers to a request."""
+        own, other = gevent.socket.socketpair()
+        with own, other:
+            self.peers._send_difference(own, SyncRequest(Version(0, 0), True))
+            yield lambda: receive_exactly(other, receive_frame_length(other))
+
     @contextmanager
     def peer(self, seconds: float, *, stalls: bool = False):
         """Simulate a peer whose snapshot takes `seconds`, or stalls half-way."""
--- a/tests/steering_builders.py
+++ b/tests/steering_builders.py
@@ -25,6 +25,9 @@
 UNKNOWN_DESTINATION = b"\xc6\x12\x00\x09\x20\xfb"
 FLOW_LIFE_MILLIS = 60_000
 START_MILLIS = 1_000_000
+OPENING_SEQUENCE = 1_000
+FIRST_ACKNOWLEDGEMENT = 5_001
+"""Numbers of the callers' openings, and of the first packets that follow them."""
 
 
 class EventRecorder:
@@ -267,6 +270,8 @@
         "is_opening": True,
         "is_ending": False,
         "n_retransmissions": 0,
+        "sequence": OPENING_SEQUENCE,
+        "acknowledgement": 0,
         "has_data": False,
         "data": b"opening %d" % port,
         **changes,
@@ -276,7 +281,14 @@
 
 def following(port: int, cookie: int, **changes: object) -> Packet:
     """Return a packet of an open flow."""
-    values = {"cookie": cookie, "is_opening": False, "data": b"following", **changes}
+    values = {
+        "cookie": cookie,
+        "is_opening": False,
+        "sequence": OPENING_SEQUENCE + 1,
+        "acknowledgement": FIRST_ACKNOWLEDGEMENT,
+        "data": b"following",
+        **changes,
+    }
     return opening(port, **values)
 
 
