Store health: a read by another balancer ends an outage, too

Cause: in an outage all balancers call the store, fail and hold it for unhealthy. Only an own successful call ended that, but a balancer that hears of another one's read makes no calls. To it each missing record may have lapsed, and is kept.

Change: a read by any balancer after the own last failure ends the outage for lapsed records, after the same grace time. The state of the own calls stays separate, since a balancer that the store turns away must not be taken for a reader.

With reads of others ignored, two of the new tests fail.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -196,7 +196,7 @@
             self._must_read_all = True
             self._on_event("store_history_gone", detail=refused.detail)
             return 0.0
-        if self._steering.store_health.note_failure():
+        if self._steering.store_health.note_failure(self._clock()):
             self._on_event("store_lost", kind=refused.kind, detail=refused.detail)
         n_preceding = self._steering.members.n_preceding(self._clock())
         rank_backoff = min(MAX_RANK_BACKOFF_SECONDS, n_preceding * RANK_BACKOFF_SECONDS)
--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -96,6 +96,7 @@
 
     def confirm_replica(self, at: Millis) -> None:
         """Note that the replica was complete at a time."""
+        self.store_health.note_read(at)
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
@@ -131,7 +132,7 @@
 
     def remove_lapsed(self, now: Millis) -> None:
         """Remove servers that did not register again after the store recovered."""
-        if not self.store_health.is_settled(now):
+        if not self.servers.has_lapsed or not self.store_health.is_settled(now):
             return
         for name in self.servers.remove_lapsed(now):
             self._on_event("backend_server_gone", server=name, reason="lapsed")
--- a/packages/stoattray-core/src/stoattray_core/steering/servers.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/servers.py
@@ -219,6 +219,11 @@
         """Return the services that servers are known of."""
         return self._local.keys() | self._remote.keys()
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Return whether the records of any servers have lapsed."""
+        return len(self._lapsed) > 0
+
     def get(self, name: str) -> ServerRow | None:
         """Return a listed or lapsed server."""
         return self._rows.get(name)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -357,6 +357,7 @@
     def tick(self, now: Millis) -> Iterator[tuple[ServerRow, bytes]]:
         """Check overdue openings; yield those to retry, with the next server."""
         self.detect_pause(now)
+        self.cluster_state.remove_lapsed(now)
         self._flows.expire_requests(now)
         for flow in self._flows.pop_overdue(now):
             if self._openings.defer_overdue(flow, now):
@@ -367,7 +368,6 @@
 
     def remove_expired(self, now: Millis) -> None:
         """Remove expired entries from all tables; runs about once a second."""
-        self.cluster_state.remove_lapsed(now)
         self.cluster_state.end_kept_evacuations(now)
         for name in self.members.expire(now):
             self._on_event("member_silent", member=name)
--- a/packages/stoattray-core/src/stoattray_core/steering/store_health.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/store_health.py
@@ -20,6 +20,9 @@
 class StoreHealth:
     """Tracks failures and recoveries of the store.
 
+    The state is that of this balancer's own calls. One that no longer calls the store,
+    as another reads it, relies on that one's reads instead.
+
     Parameters
     ----------
     recovery_grace_millis : Millis
@@ -31,6 +34,8 @@
         self._state = StoreState.UNKNOWN
         self._recovered_at: Millis | None = None
         self._answered_at: Millis | None = None
+        self._failed_at: Millis = 0
+        self._read_again_at: Millis | None = None
 
     @property
     def state(self) -> StoreState:
@@ -48,12 +53,19 @@
             self._recovered_at = now
         return has_recovered
 
-    def note_failure(self) -> bool:
+    def note_failure(self, now: Millis) -> bool:
         """Record a failed call; return whether the store was healthy before."""
         was_healthy = self._state is StoreState.HEALTHY
         self._state = StoreState.UNHEALTHY
+        self._failed_at = now
+        self._read_again_at = None
         return was_healthy
 
+    def note_read(self, at: Millis) -> None:
+        """Record that some balancer read the store at a time."""
+        if self._read_again_at is None and at > self._failed_at:
+            self._read_again_at = at
+
     def note_restored(self, now: Millis) -> None:
         """Record that the store returned from a copy, which may lack records."""
         self._recovered_at = now
@@ -70,12 +82,15 @@
 
     def is_settled(self, now: Millis) -> bool:
         """Return whether a missing record means that its writer is gone."""
-        if self._state is StoreState.UNHEALTHY:
+        if self._state is StoreState.UNHEALTHY and not self._is_past(
+            self._read_again_at, now
+        ):
             return False
-        return (
-            self._recovered_at is None
-            or now - self._recovered_at >= self._recovery_grace_millis
-        )
+        return self._recovered_at is None or self._is_past(self._recovered_at, now)
+
+    def _is_past(self, at: Millis | None, now: Millis) -> bool:
+        """Return whether the grace time after a recovery is over."""
+        return at is not None and now - at >= self._recovery_grace_millis
 
     def _had_gap(self, now: Millis) -> bool:
         return (
--- a/tests/core/steering/test_load_patterns.py
+++ b/tests/core/steering/test_load_patterns.py
@@ -151,7 +151,7 @@
         unresponsive, lapsed = self.fleet.sample_hosts(0.5)[:2]
         unresponsive.is_unresponsive = True
         for balancer in self.fleet.all_balancers:
-            balancer.steering.store_health.note_failure()
+            balancer.steering.store_health.note_failure(balancer.now)
             balancer.remove(lapsed.name)
         outcomes = self.fleet.run(3_000)
         self.assert_served_in_time(outcomes)
--- a/tests/core/steering/test_restored_store.py
+++ b/tests/core/steering/test_restored_store.py
@@ -103,6 +103,7 @@
 
     def advance(self, millis):
         self.balancer.now += millis
+        list(self.steering.tick(self.balancer.now))
         self.steering.remove_expired(self.balancer.now)
 
     def names(self):
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -8,7 +8,8 @@
 from stoattray_core.steering import cookies
 from stoattray_core.steering.entries import RequestKind, Route
 from stoattray_core.steering.openings import MAX_SERVERS_TRIED
-from stoattray_core.steering.replica import Difference
+from stoattray_core.steering.replica import Difference, Record
+from stoattray_core.steering.servers import REREGISTRATION_MILLIS
 from tests.steering_builders import (
     LOOKUP_DESTINATION,
     UNKNOWN_DESTINATION,
@@ -339,7 +340,7 @@
 
     def test_server_removed_while_the_store_is_unhealthy_is_kept_for_a_while(self):
         balancer = balancer_with("i-01")
-        balancer.steering.store_health.note_failure()
+        balancer.steering.store_health.note_failure(balancer.now)
         balancer.remove("i-01")
         self.assertEqual(balancer.open().name, "i-01")
         balancer.advance(2_000)
@@ -349,6 +350,40 @@
         balancer.steering.remove_expired(balancer.now)
         self.assertEqual(len(balancer.steering.servers), 0)
 
+    def test_removed_server_gets_nothing_though_another_balancer_reads_the_store(self):
+        """Guards against openings to a removed server after an outage of the store."""
+        balancer = balancer_with("i-01", "i-02")
+        balancer.steering.store_health.note_failure(balancer.now)
+        for step in range(100):
+            balancer.advance(200)
+            report = heartbeat(
+                revision=balancer.steering.replica.revision,
+                recovery_age=200 * step,
+                confirmed_age=100,
+            )
+            balancer.steering.apply_heartbeat(report, balancer.now)
+        revision = balancer.next_revision()
+        difference = Difference(
+            revision, [Record("servers/i-01", revision, None)], False
+        )
+        balancer.steering.apply_peer_response(
+            heartbeat(revision=revision), difference, balancer.now
+        )
+        self.assertEqual({balancer.open(port).name for port in range(50)}, {"i-02"})
+
+    def test_server_removed_just_after_an_outage_is_gone_within_the_drain_limit(self):
+        """Guards against a lapsed server that stays for another second."""
+        balancer = balancer_with("i-01", "i-02")
+        balancer.steering.store_health.note_failure(balancer.now)
+        balancer.steering.store_health.note_response(balancer.now)
+        balancer.steering.apply_changes(
+            Difference(9, [Record("servers/i-01", 9, None)], False), balancer.now
+        )
+        balancer.advance(REREGISTRATION_MILLIS - 5)
+        self.assertIn("i-01", {balancer.open(port).name for port in range(50)})
+        balancer.advance(5)
+        self.assertEqual({balancer.open(port).name for port in range(99)}, {"i-02"})
+
     def test_malformed_record_removes_only_its_own_server(self):
         balancer = balancer_with("i-01", "i-02")
         malformed = Refused(ErrorKind.ENTRY_MALFORMED, "capacity is text")
--- a/tests/core/steering/test_store_health.py
+++ b/tests/core/steering/test_store_health.py
@@ -24,12 +24,12 @@
         self.assertIs(self.health.state, StoreState.HEALTHY)
 
     def test_unhealthy_while_calls_fail(self):
-        self.assertTrue(self.health.note_failure())
-        self.assertFalse(self.health.note_failure())
+        self.assertTrue(self.health.note_failure(START_MILLIS))
+        self.assertFalse(self.health.note_failure(START_MILLIS))
         self.assertFalse(self.health.is_settled(START_MILLIS + 60_000))
 
     def test_settled_after_the_recovery_grace(self):
-        self.health.note_failure()
+        self.health.note_failure(START_MILLIS)
         self.assertTrue(self.health.note_response(START_MILLIS + 1_000))
         self.assertFalse(
             self.health.is_settled(START_MILLIS + 1_000 + RECOVERY_GRACE_MILLIS - 1)
@@ -38,6 +38,30 @@
             self.health.is_settled(START_MILLIS + 1_000 + RECOVERY_GRACE_MILLIS)
         )
 
+    def test_settled_after_another_balancer_has_read_the_store(self):
+        """Guards against an outage that never ends for a balancer without calls."""
+        self.health.note_failure(START_MILLIS)
+        self.health.note_read(START_MILLIS)
+        self.assertFalse(self.health.is_settled(START_MILLIS + 60_000))
+        read_at = START_MILLIS + 1_000
+        self.health.note_read(read_at)
+        self.health.note_read(read_at + 500)
+        self.assertFalse(self.health.is_settled(read_at + RECOVERY_GRACE_MILLIS - 1))
+        self.assertTrue(self.health.is_settled(read_at + RECOVERY_GRACE_MILLIS))
+
+    def test_reads_of_others_do_not_make_the_own_calls_healthy(self):
+        """Guards against a reader that others rely on while its calls are refused."""
+        self.health.note_failure(START_MILLIS)
+        self.health.note_read(START_MILLIS + 1_000)
+        self.assertIs(self.health.state, StoreState.UNHEALTHY)
+        self.assertIsNone(self.health.recovery_age(START_MILLIS + 1_000))
+
+    def test_unsettled_again_after_another_failure(self):
+        self.health.note_failure(START_MILLIS)
+        self.health.note_read(START_MILLIS + 1_000)
+        self.health.note_failure(START_MILLIS + 5_000)
+        self.assertFalse(self.health.is_settled(START_MILLIS + 5_000))
+
     def test_long_gap_between_answers_counts_as_outage(self):
         later = START_MILLIS + MAX_ANSWER_GAP_MILLIS + 1
         self.assertTrue(self.health.note_response(later))
