Replica: changes up to an earlier revision restore nothing

Its tombstone is unknown to a replica that never held the key.

A replica contains every change up to its revision, so such an answer has nothing new and is ignored whole. The new test failed before (the removed record was restored).

--- a/packages/stoattray-core/src/stoattray_core/steering/replica.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/replica.py
@@ -87,8 +87,10 @@
         Parameters
         ----------
         difference : Difference
-            Changes from the store or a peer; older records are ignored. Of a newer
-            era only a snapshot is applied, and of an older one nothing.
+            Changes from the store or a peer; older records are ignored. Nothing is
+            applied of changes up to an earlier revision: keys that were deleted since
+            may be unknown here. Of a newer era only a snapshot is applied, and of an
+            older one nothing.
 
         Returns
         -------
@@ -100,6 +102,8 @@
             if is_newer and difference.is_snapshot:
                 return self._replace(difference)
             return []
+        if difference.revision < self._revision:
+            return []
         changed = [record for record in difference.records if self._apply(record)]
         if difference.is_snapshot:
             changed.extend(self._delete_missing(difference))
--- a/tests/core/steering/test_replica.py
+++ b/tests/core/steering/test_replica.py
@@ -60,6 +60,13 @@
         self.replica.merge(difference(5, Record("k", 5, b"x"), is_snapshot=True))
         self.assertIsNone(self.replica.get("k"))
 
+    def test_older_snapshot_does_not_restore_a_record_that_was_never_held(self):
+        """Guards against a removed server that a slow answer of the store restores."""
+        self.replica.merge(difference(9, Record("j", 9, b"x"), is_snapshot=True))
+        late = difference(8, Record("k", 5, b"removed at 9"), is_snapshot=True)
+        self.assertEqual(self.replica.merge(late), [])
+        self.assertIsNone(self.replica.get("k"))
+
     def test_snapshot_deletes_missing_records(self):
         self.replica.merge(difference(2, Record("a", 1, b""), Record("b", 2, b"")))
         changed = self.replica.merge(
