Entries: bounds for what another writer may bring in

Cause: numbers of entries had no upper bound, names and addresses hardly any. The choice of a server raised OverflowError; heartbeats and copies for peers could not be encoded. An unreadable record made the client refuse the store's whole answer for good, and an error while one record was applied dropped the others.

Change: numbers, names, addresses and sizes are bounded where entries are decoded; times and weights of a configuration are clipped; unreadable records are malformed, and errors while one is applied are logged as record_failed. Hosts of balancers have to be addresses, as a name would be looked up in the path of heartbeats.

--- a/deploy/tests/test_record_decoder.py
+++ b/deploy/tests/test_record_decoder.py
@@ -23,7 +23,11 @@
     WarmUp,
 )
 from stoattray_core.steering.replica import Record
-from stoattray_platform.record_decoder import PlatformRecordDecoder
+from stoattray_platform.record_decoder import (
+    MAX_TIME_MILLIS,
+    MAX_WEIGHT,
+    PlatformRecordDecoder,
+)
 
 ANY_JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -191,6 +195,30 @@
             with self.subTest(services):
                 self.assertEqual(self.warm_ups(services), {})
 
+    def test_long_times_and_large_weights_are_clipped(self):
+        """Guards against a number that no calculation with floats can take."""
+        body = build_configuration_body(limits={"idle_timeout_ms": 10**400})
+        for name in ("target_latency_ms", "timeout_ms"):
+            body["routes"][0][name] = 10**400
+        body["routes"][0]["backends"][0]["weight"] = 10**400
+        decoded = self.decoder.decode(build_configuration_record(**body))
+        route = next(iter(decoded.routes.values()))
+        self.assertEqual(
+            (route.target_latency_millis, route.timeout_millis),
+            (MAX_TIME_MILLIS, MAX_TIME_MILLIS),
+        )
+        self.assertEqual(decoded.idle_timeout_millis, MAX_TIME_MILLIS)
+        self.assertEqual(route.service_weights[0], ("huvo11a", MAX_WEIGHT))
+
+    def test_port_out_of_range_is_malformed(self):
+        """Guards against an error that no decoder expects."""
+        for prefix in ("/0/", "/65536/", "/-1/", "/4_43/", "//", "/x/"):
+            body = build_configuration_body()
+            body["routes"][0]["prefix"] = prefix
+            refused = self.decoder.decode(build_configuration_record(**body))
+            with self.subTest(prefix):
+                self.assertEqual(refused.kind, ErrorKind.ENTRY_MALFORMED)
+
     def test_unknown_kind_is_treated_as_non_idempotent(self):
         body = build_configuration_body()
         body["routes"][0]["type"] = "new-kind"
--- a/deploy/tests/test_store_client.py
+++ b/deploy/tests/test_store_client.py
@@ -12,9 +12,11 @@
 HOST = "127.0.0.1"
 
 
-def page(revision):
-    """Return the store's answer with no records."""
-    body = json.dumps({"items": [], "has_more": False, "store_revision": revision})
+def page(revision, items=()):
+    """Return the store's answer with records, by default none."""
+    body = json.dumps(
+        {"items": list(items), "has_more": False, "store_revision": revision}
+    )
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
     return (head + body).encode()
 
@@ -61,6 +63,20 @@
         for request in self.requests:
             self.assertTrue(request.startswith(b"GET /api/kv-range?prefix= HTTP/1.1"))
 
+    def test_record_that_cannot_be_read_does_not_refuse_the_others(self):
+        """Guards against a balancer that no longer follows the store."""
+        items = [
+            {"key": "servers/i-1", "revision": 1, "value": "e30="},
+            {"key": "servers/i-\ud83d2", "revision": 2, "value": "e30="},
+            {"key": "servers/i-3", "revision": 3, "value": "{"},
+            {"key": "servers/i-4", "revision": 4, "value": None},
+            {"key": "servers/i-5", "revision": 5, "value": "e30="},
+        ]
+        self.serve([page(8, items)])
+        records = self.read().records
+        self.assertEqual([record.revision for record in records], [1, 3, 4, 5])
+        self.assertEqual([record.value for record in records], [b"{}", b"", b"", b"{}"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -14,6 +14,7 @@
 
 from stoattray_balancer.steering._frames import MAX_FRAME_BYTES
 from stoattray_core._errors import ErrorKind
+from stoattray_core._identifiers import is_host_address
 from stoattray_core._sentinel import Refused
 from stoattray_core.steering.cut_offs import CutOffReport
 from stoattray_core.steering.entries import MemberEntry
@@ -213,6 +214,8 @@
     name, host, data_centre, incarnation, *_ = row
     if not all(isinstance(text, str) for text in (name, host, data_centre)):
         raise TypeError("name, host and data centre of a member must be strings")
+    if not is_host_address(host):
+        raise ValueError(f"{host[:20]!r} is no IPv4 address of a host")
     return MemberEntry(name, host, data_centre, _read_number(incarnation))
 
 
--- a/packages/stoattray-core/src/stoattray_core/_identifiers.py
+++ b/packages/stoattray-core/src/stoattray_core/_identifiers.py
@@ -20,6 +20,10 @@
 Address = tuple[str, int]
 """Host and port, as the socket module expects them."""
 
+FIRST_MULTICAST_BYTE = 224
+"""First byte from which on IPv4 addresses are not those of one host."""
+
+MAX_BYTE = 255
 FLOW_ID_BYTES = 6
 N_SHARDS = 251
 """Number of partitions of the flow space; the Maglev table requires a prime."""
@@ -39,3 +43,14 @@
     """Return the data address in a backend server id."""
     host, _, port = server.rpartition("@")[2].rpartition(":")
     return host, int(port)
+
+
+def is_host_address(text: str) -> bool:
+    """Return whether a text is the IPv4 address of one host, in dotted notation."""
+    parts = text.split(".")
+    if len(parts) != 4 or not text.isascii():
+        return False
+    if not all(part.isdigit() and len(part) <= 3 for part in parts):
+        return False
+    numbers = [int(part) for part in parts]
+    return 0 < numbers[0] < FIRST_MULTICAST_BYTE and max(numbers) <= MAX_BYTE
--- a/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/cluster_state.py
@@ -72,6 +72,7 @@
         self.replica = Replica()
         self.store_health = StoreHealth(REREGISTRATION_MILLIS)
         self.n_malformed = 0
+        self.n_failed = 0
         self.n_restored = 0
         self.evacuation_changes: Counter[str] = Counter()
         self._warm_up = warm_up
@@ -117,9 +118,13 @@
         if is_restored:
             self._note_restored(before, now)
         for record in changed:
-            self._apply_record(
-                record, now, logs_change=not is_first, is_from_copy=is_restored
-            )
+            try:
+                self._apply_record(
+                    record, now, logs_change=not is_first, is_from_copy=is_restored
+                )
+            except Exception as error:  # noqa: BLE001 - the other records still apply
+                self.n_failed += 1
+                self._on_event("record_failed", key=record.key, error=repr(error))
         self._apply_evacuations(difference, changed, now, is_restored=is_restored)
         if is_first and changed:
             self._on_event(
