Forwarding: an unexpected error ends one packet, not the watcher

Cause: packets are read in the callback of a gevent watcher, which gevent stops if the callback raises. Readiness knew only whether the first copy of the store was there.

Change: an error ends the handling of its own packet, and is counted and logged. The watchers of heartbeats and of bucket placement ended alike, and so could a log line; they are guarded, too.

--- a/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/_datapath.py
@@ -114,7 +114,15 @@
     def start(self) -> None:
         """Start receiving."""
         for watcher, callback in self._watchers:
-            watcher.start(callback)
+            watcher.start(self._run_callback, callback)
+
+    def _run_callback(self, callback: Callable[[], None]) -> None:
+        """Run a watcher's callback; an error that left it would end the watcher."""
+        try:
+            callback()
+        except Exception as error:  # noqa: BLE001 - the process must keep running
+            self.counters["callbacks_failed"] += 1
+            log_event("callback_failed", name=callback.__name__, error=repr(error))
 
     def stop(self) -> None:
         """Stop receiving and release the watchers."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/event_log.py
@@ -75,8 +75,8 @@
         self._n_logged[name] += 1
         if self._lines is None:
             self._early_events.append((name, fields, time.time()))
-        else:
-            self._lines.write(name, fields)
+            return
+        self._write(self._lines, name, fields)
 
     def is_enabled(self, name: str) -> bool:
         """Return whether an event of this kind would be written now."""
@@ -141,9 +141,23 @@
             self._lines = LineBuffer(self._level)
             early_events, self._early_events = self._early_events, []
             for name, fields, created in early_events:
-                self._lines.write(name, fields, created=created)
+                self._write(self._lines, name, fields, created=created)
         return self._lines
 
+    def _write(
+        self,
+        lines: "LineBuffer",
+        name: str,
+        fields: dict[str, FieldValue],
+        *,
+        created: float | None = None,
+    ) -> None:
+        """Write one event; one that can't be formatted must not end its caller."""
+        try:
+            lines.write(name, fields, created=created)
+        except Exception:  # noqa: BLE001
+            self._n_suppressed["unformatted"] += 1
+
     def _log_suppressed(self) -> None:
         counted, self._n_suppressed = self._n_suppressed, Counter()
         for name, n_events in counted.items():
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/packet_forwarder.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/packet_forwarder.py
@@ -3,10 +3,11 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import gevent
 
+from stoattray_balancer.steering.forwarding_health import ForwardingHealth
 from stoattray_core._errors import ERROR_RESPONSES, ErrorKind, PacketResponse
 from stoattray_core._identifiers import Address, Millis
 from stoattray_core._sentinel import Refused
@@ -87,6 +88,7 @@
         self.counters: Counter[str] = Counter()
         self.refusals: Counter[str] = Counter()
         self.last_packet_at: Millis = 0
+        self.health = ForwardingHealth()
         self._socket = udp_socket
         self._read_watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ_EVENT)
 
@@ -117,7 +119,7 @@
             gevent.sleep(TICK_SECONDS if has_pending_openings else IDLE_TICK_SECONDS)
 
     def _receive_batch(self) -> None:
-        self._steering.detect_pause(self._clock())
+        self._guard(self._steering.detect_pause, self._clock())
         for _ in range(BATCH_PACKETS):
             try:
                 data = self._socket.recv(RECEIVE_BYTES)
@@ -126,8 +128,19 @@
             except OSError as error:
                 self._on_event("datagram_unread", error=repr(error))
                 return
-            self._handle_packet(data)
-        self._steering.note_queued_packets(self._clock())
+            self._guard(self._handle_packet, data)
+        self._guard(self._steering.note_queued_packets, self._clock())
+
+    def _guard(self, action: Callable[[Any], None], argument: Millis | bytes) -> None:
+        """Call `action`; an unexpected error is logged and ends only this call.
+
+        An error that leaves the callback of a watcher would end the watcher.
+        """
+        try:
+            action(argument)
+        except Exception as error:  # noqa: BLE001 - the other packets are forwarded
+            self.counters["failed"] += 1
+            self._on_event("packet_failed", step=action.__name__, error=repr(error))
 
     def _handle_packet(self, data: bytes) -> None:
         if self.last_packet_at == 0:
@@ -146,6 +159,9 @@
 
     def handle_relayed(self, data: bytes) -> None:
         """Handle a packet relayed by another balancer; it is not relayed again."""
+        self._guard(self._handle_relayed, data)
+
+    def _handle_relayed(self, data: bytes) -> None:
         self.counters["taken_from_peers"] += 1
         refused = self._route(data)
         if refused is not None:
@@ -156,11 +172,16 @@
         packet = self._header_codec.parse(data)
         if isinstance(packet, Refused):
             return packet
-        server = self._steering.route_packet(packet, self._clock())
-        if isinstance(server, Refused):
-            return server
-        self._forward(server, data)
-        return None
+        now = self._clock()
+        try:
+            server = self._steering.route_packet(packet, now)
+            if isinstance(server, ServerRow):
+                self._forward(server, data)
+        except Exception:
+            self.health.note_error(now, is_opening=packet.is_opening)
+            raise
+        self.health.note_handled(is_opening=packet.is_opening)
+        return server if isinstance(server, Refused) else None
 
     def _forward(self, server: ServerRow, data: bytes) -> None:
         self.counters["forwarded"] += 1
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -113,6 +113,8 @@
         Addresses of balancers to pull from at the start; some may be stale.
     is_reading : callable
         Returns whether this balancer reads the store.
+    is_forwarding : callable
+        Returns whether this balancer is ready and forwards packets.
     random : Random
         Source of jitter.
     clock : callable
@@ -132,6 +134,7 @@
         peer_port: int,
         seeds: tuple[Address, ...],
         is_reading: Callable[[], bool],
+        is_forwarding: Callable[[], bool],
         random: Random,
         clock: Callable[[], Millis],
         on_relayed: Callable[[bytes], None],
@@ -142,6 +145,7 @@
         self._peer_port = peer_port
         self.seeds = seeds
         self._is_reading = is_reading
+        self._is_forwarding = is_forwarding
         self._random = random
         self._clock = clock
         self._on_relayed = on_relayed
@@ -251,7 +255,7 @@
         confirmed_age = max(0, steering.reported_age(now))
         return Heartbeat(
             member=self._own,
-            is_ready=steering.is_ready and not self.is_leaving,
+            is_ready=self._is_forwarding() and not self.is_leaving,
             is_reader=is_reader,
             era=steering.replica.version.era,
             revision=steering.replica.revision,
@@ -312,14 +316,20 @@
             except OSError as error:
                 self._on_event("heartbeat_unread", error=repr(error))
                 return
-            if data.startswith(RELAY_PREFIX):
-                self._on_relayed(data.removeprefix(RELAY_PREFIX))
-                continue
-            heartbeat = decode_heartbeat(data)
-            if isinstance(heartbeat, Refused):
-                self._on_event("heartbeat_refused", reason=heartbeat.detail)
-                continue
-            self._handle_heartbeat(heartbeat)
+            try:
+                self._handle_datagram(data)
+            except Exception as error:  # noqa: BLE001 - would end the watcher
+                self._on_event("message_failed", error=repr(error))
+
+    def _handle_datagram(self, data: bytes) -> None:
+        if data.startswith(RELAY_PREFIX):
+            self._on_relayed(data.removeprefix(RELAY_PREFIX))
+            return
+        heartbeat = decode_heartbeat(data)
+        if isinstance(heartbeat, Refused):
+            self._on_event("heartbeat_refused", reason=heartbeat.detail)
+            return
+        self._handle_heartbeat(heartbeat)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         if self._steering.apply_heartbeat(heartbeat, self._clock()):
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -169,6 +169,7 @@
             peer_port=settings.peer_port,
             seeds=settings.seeds,
             is_reading=lambda: self._store_reader.is_reading,
+            is_forwarding=self._is_forwarding,
             random=self._random,
             clock=boot_millis,
             on_relayed=self._forwarder.handle_relayed,
@@ -208,7 +209,7 @@
     def _handle_http(self, path: str) -> tuple[int, str]:
         if path == self._readiness_path:
             self._ready_event.wait(READINESS_HOLD_SECONDS)
-            is_ready = self._steering.is_ready and not self._is_reported_unready
+            is_ready = self._is_forwarding() and not self._is_reported_unready
             return (200, "ready\n") if is_ready else (503, "not ready\n")
         if path == METRICS_PATH:
             # Imported here, as it is not needed before the first packet.
@@ -220,6 +221,11 @@
             return 200, text
         return 404, "not found\n"
 
+    def _is_forwarding(self) -> bool:
+        """Return whether packets can be forwarded and are not failing."""
+        is_failing = self._forwarder.health.is_failing(boot_millis())
+        return self._steering.is_ready and not is_failing
+
     def _request_stop(self) -> None:
         self._is_stopping = True
 
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -87,6 +87,7 @@
             peer_port=0,
             seeds=(),
             is_reading=lambda: False,
+            is_forwarding=lambda: balancer.steering.is_ready,
             random=Random(1),
             clock=lambda: balancer.now,
             on_relayed=lambda data: None,
