Admission control: no infinite limit for routes without target latency

Cause: the longest admitted response time was infinite, and its log line rounds it. It is None now, also for a target of 0, and is logged as such.

--- a/packages/stoattray-core/src/stoattray_core/steering/admission.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/admission.py
@@ -20,7 +20,6 @@
 slots that are free in the whole service, and new ones the queues.
 """
 
-import math
 from random import Random
 from typing import NamedTuple
 
@@ -93,8 +92,8 @@
         Best server for the flow.
     expected_millis : float or None
         Expected response time there; None if the service time is unknown.
-    max_millis : float
-        Longest expected response time that is admitted.
+    max_millis : float or None
+        Longest expected response time that is admitted; None without target latency.
     response_millis : float
         Mean response time of the service.
     probability : float
@@ -107,7 +106,7 @@
 
     server: ServerRow
     expected_millis: float | None
-    max_millis: float
+    max_millis: float | None
     response_millis: float
     probability: float
     is_deferred: bool = False
@@ -349,9 +348,10 @@
             return None
         expected = _expected_millis(server, contender.service_time, now)
         ratio = PRIORITY_MAX_LATENCY_RATIO if route.has_priority else MAX_LATENCY_RATIO
-        max_millis = ratio * target if target else math.inf
+        max_millis = ratio * target if target else None
+        is_late = None not in (expected, max_millis) and expected > max_millis
         refusal = order.check(contender, now)
-        if refusal is None and expected is not None and expected > max_millis:
+        if refusal is None and is_late:
             refusal = order.explain(contender, now)
         if refusal is None:
             return None
--- a/packages/stoattray-core/src/stoattray_core/steering/opening_log.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/opening_log.py
@@ -67,7 +67,7 @@
             return
         server = overload.server
         reported_at = server.peer_reported_at
-        expected = overload.expected_millis
+        expected, max_millis = overload.expected_millis, overload.max_millis
         self._on_event(
             "opening_refused",
             flow=flow_name(packet.key),
@@ -77,7 +77,7 @@
             peer_load=round(server.peer_load, 2),
             peer_load_age_ms=None if reported_at is None else now - reported_at,
             expected_ms=None if expected is None else round(expected),
-            max_ms=round(overload.max_millis),
+            max_ms=None if max_millis is None else round(max_millis),
             response_ms=round(overload.response_millis),
             probability=round(overload.probability, 2),
             is_deferred=overload.is_deferred,
--- a/tests/core/steering/test_contention.py
+++ b/tests/core/steering/test_contention.py
@@ -74,6 +74,29 @@
         self.assertGreater(len(refused), 5)
         self.assertEqual(set(refused), {2})
 
+    def test_refusal_of_a_route_without_target_latency_is_logged(self):
+        """Guards against an error in place of a refusal, in a burst."""
+        self.routes[2] = self.routes[2]._replace(
+            target_latency_millis=None, timeout_millis=None
+        )
+        balancer = Balancer()
+        routes = {item.destination: item for item in self.routes.values()}
+        balancer.declare(configuration(routes=routes), server_entry())
+        [server] = balancer.steering.servers
+        report = heartbeat(pending_requests={server.cookie: 9})
+        for port in range(40_000, 40_050, 2):
+            balancer.advance(10)
+            balancer.steering.apply_heartbeat(report, balancer.now)
+            for level in (1, 2):
+                destination = self.routes[level].destination
+                balancer.open(port + level, destination=destination)
+        limits = [
+            fields["max_ms"]
+            for name, fields in balancer.recorder.events
+            if name == "opening_refused"
+        ]
+        self.assertIn(None, limits)
+
     def test_lower_level_gets_no_reserved_place(self):
         """Guards against moves whose queue places board streams have taken."""
         self.offer(1_000, n_pending=0)
