Openings: a port that is used again opens a new flow

Cause: a balancer keeps the rows of flows whose end passed others. An opening for such a row was taken for a late transmission and sent to the row's server, past the route, draining states and removed entries. Packets of a new flow that had opened by way of another balancer followed the old row, too.

Change: the caller's sequence number tells the two apart; the old row is closed and the new flow placed like any other. Packets with another server's cookie are compared with the numbers of the row's flow.

--- a/packages/stoattray-core/src/stoattray_core/steering/openings.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/openings.py
@@ -149,6 +149,10 @@
         self, packet: Packet, flow: FlowRow | None, now: Millis
     ) -> ServerRow | Refused:
         """Return the server for an opening packet, or why it is refused."""
+        if flow is not None and packet.sequence != flow.opening_sequence:
+            # The caller uses the port again; the earlier flow ended unseen.
+            self._flows.close(flow)
+            flow = None
         if flow is not None and flow.is_established:
             if self._servers.is_evacuated(flow.server):
                 # Its caller needs no answer; one that reuses the port tries again.
--- a/packages/stoattray-core/src/stoattray_core/steering/pinning.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinning.py
@@ -15,7 +15,6 @@
     PinnedFlow,
     PinTable,
     is_near,
-    is_of_flow,
 )
 from stoattray_core.steering.protocols import EventSink
 from stoattray_core.steering.servers import ServerRow, ServerTable
@@ -91,9 +90,7 @@
 
     def note_cookie(self, flow: FlowRow, packet: Packet, now: Millis) -> None:
         """Pin an established flow if one of its packets carries another's cookie."""
-        if packet.key in self.pins or not is_of_flow(
-            packet, flow.first_sequence, flow.first_acknowledgement
-        ):
+        if packet.key in self.pins:
             return
         named = self._servers.by_cookie(packet.cookie)
         if named is not None and named.name != flow.server.name:
--- a/tests/core/steering/test_steering.py
+++ b/tests/core/steering/test_steering.py
@@ -11,7 +11,9 @@
 from stoattray_core.steering.replica import Difference, Record
 from stoattray_core.steering.servers import REREGISTRATION_MILLIS
 from tests.steering_builders import (
+    FIRST_ACKNOWLEDGEMENT,
     LOOKUP_DESTINATION,
+    OPENING_SEQUENCE,
     UNKNOWN_DESTINATION,
     Balancer,
     configuration,
@@ -67,6 +69,46 @@
         self.assertIs(balancer.follow(40_000, first), first)
         self.assertIs(balancer.follow(40_000, second), first)
 
+    def test_later_flow_from_the_same_port_is_placed_anew(self):
+        """Guards against the route and servers of an earlier configuration."""
+        balancer = balancer_with("i-01", "i-02")
+        earlier = balancer.open()
+        balancer.follow(40_000, earlier)
+        later = OPENING_SEQUENCE + 2**30
+        balancer.declare(server_entry(earlier.name, is_draining=True))
+        server = balancer.open(sequence=later)
+        self.assertNotEqual(server.name, earlier.name)
+        self.assertEqual((earlier.n_open, server.n_open), (0, 1))
+        packet = following(40_000, server.cookie, sequence=later + 1)
+        routed = balancer.steering.route_packet(packet, balancer.now)
+        self.assertIs(routed, server)
+
+    def test_repeated_opening_of_an_established_flow_keeps_its_server(self):
+        balancer = balancer_with("i-01", "i-02")
+        server = balancer.open()
+        balancer.follow(40_000, server)
+        for _ in range(10):
+            self.assertIs(balancer.open(n_retransmissions=1), server)
+
+    def test_later_flow_that_opened_by_way_of_another_balancer(self):
+        """Guards against packets that follow the row of an earlier flow's port."""
+        balancer = balancer_with("i-01", "i-02")
+        earlier = balancer.open()
+        balancer.follow(40_000, earlier)
+        name = "i-02" if earlier.name == "i-01" else "i-01"
+        server = balancer.steering.servers.get(name)
+        for numbers in (
+            {"sequence": OPENING_SEQUENCE + 2**30},
+            {"acknowledgement": FIRST_ACKNOWLEDGEMENT + 2**30},
+        ):
+            packet = following(40_000, server.cookie, **numbers)
+            routed = balancer.steering.route_packet(packet, balancer.now)
+            self.assertIs(routed, server)
+            self.assertEqual(balancer.steering.n_flows, 0)
+            self.assertEqual(len(balancer.steering.pinning.pins), 0)
+            balancer.open()
+            balancer.follow(40_000, earlier)
+
     def test_counts_move_with_the_flow(self):
         balancer = balancer_with("i-01", "i-02")
         first = balancer.open()
