Soak: lost answers to openings, used ports, lost records, another build beside

What the review's cases needed was not in the soak: SYN+ACKs that are lost and repeated, callers that pause and use ports again, servers that lose their record and serve on (--losses), odd records of other writers, and another build in the same fleet (--beside).

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from fleet import BALANCER_MAIN
 from run import execute_run
 
 DEFAULT_SECONDS = 30.0
@@ -36,6 +37,18 @@
         action="store_true",
         help="data centres are evacuated, and their servers restart cold together",
     )
+    parser.add_argument(
+        "--losses",
+        action="store_true",
+        help="answers to openings are lost, callers pause and use ports again, and "
+        "servers lose their records",
+    )
+    parser.add_argument(
+        "--beside",
+        type=Path,
+        metavar="MAIN",
+        help="__main__.py of another build; every balancer runs both builds in turn",
+    )
     parser.add_argument(
         "--replay", type=Path, help="report whose failing seeds are run again"
     )
@@ -51,6 +64,8 @@
             arguments.processes,
             has_restores=arguments.restores,
             has_evacuations=arguments.evacuations,
+            has_losses=arguments.losses,
+            mains=_mains(arguments.beside),
         )
         if report["violations"]:
             report["logs"] = str(log_directory)
@@ -63,6 +78,11 @@
     return 1 if any(report["violations"] for report in reports) else 0
 
 
+def _mains(beside: Path | None) -> tuple[Path, ...]:
+    """Return the programs that balancers run in turn."""
+    return (BALANCER_MAIN,) if beside is None else (BALANCER_MAIN, beside.resolve())
+
+
 def _seeds(arguments: argparse.Namespace) -> Iterator[int]:
     if arguments.replay is not None:
         reports = json.loads(arguments.replay.read_text())
--- a/deploy/soak/backend_servers.py
+++ b/deploy/soak/backend_servers.py
@@ -13,6 +13,7 @@
 import packets
 from evacuations import Evacuations
 from gevent import socket
+from losses import REPEAT_SECONDS, Losses
 from monitor import InvariantMonitor
 from packets import ACK, FIN, LABEL_BYTES, RST, SYN, Packet
 from store import SimulatedStore, encode_document
@@ -34,6 +35,7 @@
     """A flow that a backend server holds."""
 
     sequence: int
+    caller_sequence: int
     is_open: bool = False
     responses: dict[str, list[bytes]] = field(default_factory=dict)
 
@@ -74,6 +76,7 @@
         self.data_centre = data_centre
         self.address = address
         self.draining_since: float | None = None
+        self.unlisted_since: float | None = None
         self.processing_seconds = 0.02
         self._warm_up = warm_up
         self._started_at_unix_ms = started_at_unix_ms
@@ -101,6 +104,11 @@
         self.draining_since = self._shared.monitor.elapsed_seconds
         self._write_record()
 
+    def unlist(self) -> None:
+        """Lose the record, as if heartbeats no longer reached the store, and serve."""
+        self.unlisted_since = self._shared.monitor.elapsed_seconds
+        self._shared.store.delete(f"servers/{self.name}")
+
     def stop(self, *, keeps_record: bool = False) -> None:
         """Stop without notifying callers.
 
@@ -124,7 +132,8 @@
             is_current = item is not None and item.value == self._record
             # A balancer that starts counts the time in the record from then on.
             has_warmed = self._is_recorded_cold and not self.is_cold
-            if not store.faults.is_down and (has_warmed or not is_current):
+            is_due = self.unlisted_since is None and (has_warmed or not is_current)
+            if is_due and not store.faults.is_down:
                 self._write_record()
             if self._warm_up is not None:
                 self._warm_up.note_time(self._shared.monitor.elapsed_seconds)
@@ -194,9 +203,9 @@
         flow = self._flows.get(packet.flow_key)
         self._shared.check_delivery(packet, self, is_known=flow is not None)
         if packet.flags & SYN:
-            if flow is None:
+            if flow is None or flow.caller_sequence != packet.sequence:
                 flow = self._accept_flow(packet)
-            self._send(packet, SYN | ACK, flow.sequence)
+            self._answer_opening(packet, flow)
         elif flow is None:
             self._send(packet, RST, packet.acknowledgement)
         elif packet.flags & RST:
@@ -216,7 +225,7 @@
             shared.monitor.record_violation(
                 "right service", host=self.name, service=self.service
             )
-        draining_since = self.draining_since
+        draining_since = self.draining_since or self.unlisted_since
         if draining_since is not None and shared.monitor.is_settled:
             delay_seconds = shared.monitor.elapsed_seconds - max(
                 draining_since, shared.monitor.fault_window_ends_at
@@ -225,10 +234,28 @@
                 shared.monitor.record_violation(
                     "drain", host=self.name, late_s=round(delay_seconds, 3)
                 )
-        flow = Flow(shared.random.randrange(1, 2**31))
+        flow = Flow(shared.random.randrange(1, 2**31), packet.sequence)
         self._flows[packet.flow_key] = flow
         return flow
 
+    def _answer_opening(self, packet: Packet, flow: Flow) -> None:
+        losses = self._shared.losses
+        if losses is None or not losses.loses_answer(packet.flow_key, packet.sequence):
+            self._send(packet, SYN | ACK, flow.sequence)
+        else:
+            self._shared.monitor.counts["answers lost"] += 1
+        if losses is not None:
+            self._tasks.append(gevent.spawn(self._repeat_answer, packet, flow))
+
+    def _repeat_answer(self, packet: Packet, flow: Flow) -> None:
+        """Repeat the answer to an opening until the flow is open here."""
+        for seconds in REPEAT_SECONDS:
+            gevent.sleep(seconds)
+            if flow.is_open or self._flows.get(packet.flow_key) is not flow:
+                return
+            self._shared.monitor.counts["answers repeated"] += 1
+            self._send(packet, SYN | ACK, flow.sequence)
+
     def _handle_request(self, packet: Packet, flow: Flow) -> None:
         if not flow.is_open:
             if packet.acknowledgement != flow.sequence + 1:
@@ -295,6 +322,7 @@
     n_misdelivered: dict[bytes, int] = field(default_factory=dict)
     n_executions: dict[str, int] = field(default_factory=dict)
     evacuations: Evacuations | None = None
+    losses: Losses | None = None
     cut_off_data_centres: set[str] = field(default_factory=set)
 
     def forget_flows(self, name: str) -> None:
--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -12,6 +12,7 @@
 from fleet import Balancer, Fleet
 from gevent import socket
 from gevent.queue import Empty, Queue
+from losses import Ports
 from packets import ACK, FIN, RST, SYN, Packet
 
 OPENING_TIMEOUTS_SECONDS = (0.2, 0.4, 0.8)
@@ -98,7 +99,7 @@
         self._source = sockets.inet_aton(host)
         self._shared = shared
         self._routers = routers
-        self._next_port = 20_000
+        self._ports = Ports(reuses=shared.losses is not None)
         self._queues: dict[bytes, Queue] = {}
         self._socket = socket.socket(sockets.AF_INET, sockets.SOCK_DGRAM)
         self._socket.bind((host, port))
@@ -111,12 +112,16 @@
 
     def create_flow(self, destination: bytes) -> "CallerFlow":
         """Return an unopened flow with a new source port."""
-        self._next_port += 1
-        port = struct.pack(">H", self._next_port)
+        port = self._ports.take(self._shared.monitor.elapsed_seconds)
         key = self._source + destination + port
         self._queues[key] = Queue()
+        self._shared.flow_owners.pop(key, None)
         return CallerFlow(key, self._queues[key], self._send, self._shared)
 
+    def release(self, flow: "CallerFlow") -> None:
+        """Use the port of a flow that has ended again after a while."""
+        self._ports.release(flow.key, self._shared.monitor.elapsed_seconds)
+
     def _send(self, key: bytes, datagram: bytes) -> None:
         balancer = self._routers.balancer_for(key)
         if balancer.is_cut_off:
--- a/deploy/soak/fleet.py
+++ b/deploy/soak/fleet.py
@@ -17,7 +17,7 @@
     Path(__file__).parents[2] / "platform/src/stoattray_platform/__main__.py"
 )
 INHERITED_ENVIRONMENT = {
-    name: os.environ[name] for name in ("PATH", "PYTHONPATH") if name in os.environ
+    name: os.environ[name] for name in ("PATH",) if name in os.environ
 }
 GRACE_SECONDS = 6
 CHECK_PERIOD_SECONDS = 0.2
@@ -58,6 +58,8 @@
         Directory for settings and logs.
     extra_settings : dict
         Settings of the process beside those that each has.
+    mains : tuple of Path
+        Programs of the builds that it runs in turn, another one at each start.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         store: tuple[str, int],
         directory: Path,
         extra_settings: dict[str, object],
+        mains: tuple[Path, ...] = (BALANCER_MAIN,),
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -84,6 +87,7 @@
         self.is_stopped = False
         self.is_cut_off = False
         self.n_starts = 0
+        self._mains = mains
         self._settings_path = directory / f"{name}.json"
         self._log_path = directory / f"{name}.log"
         self._process: subprocess.Popen | None = None
@@ -112,17 +116,19 @@
 
     def start(self) -> None:
         """Start the process."""
+        main = self._mains[self.n_starts % len(self._mains)]
         self.n_starts += 1
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [
                     sys.executable,
-                    str(BALANCER_MAIN),
+                    str(main),
                     "{}:{}".format(*self.datagram_address),
                     "{}:{}".format(*self.readiness_address),
                 ],
                 env={
                     **INHERITED_ENVIRONMENT,
+                    "PYTHONPATH": str(main.parents[1]),
                     "STOATTRAY_NODE_FILE": str(self._settings_path),
                 },
                 stdout=log,
--- a/deploy/soak/injector.py
+++ b/deploy/soak/injector.py
@@ -36,6 +36,18 @@
 """Time after which the record of a server that no longer writes is removed."""
 
 
+ODD_ENTRY = """{{"service":"lookup","address":"127.0.0.1:9","zone":{zone},
+"capacity":{capacity},"state":"ready","warmup_remaining_ms":0,"sequence":1,"born":1}}"""
+MALFORMED_VALUES = (b"", b"[]", b'{"service":5}', b"\xff\xfe", b"[" * 50_000)
+ODD_VALUES = (
+    ODD_ENTRY.format(zone='"luzon-a"', capacity="9" * 400).encode(),
+    ODD_ENTRY.format(zone='"\\ud83d"', capacity=2).encode(),
+    ODD_ENTRY.format(zone='"luzon-a"', capacity=2).replace(":9", ":99999").encode(),
+)
+"""Records of another writer among those of the servers. The second kind ended the
+forwarding of releases up to 77a4118."""
+
+
 class Injector:
     """Executes the entries of a schedule.
 
@@ -70,7 +82,7 @@
         not_draining = [
             server
             for server in self._run.shared.backend_servers.values()
-            if server.draining_since is None
+            if server.draining_since is None and server.unlisted_since is None
         ]
         n_by_service = Counter(server.service for server in not_draining)
         spare = [server for server in not_draining if n_by_service[server.service] > 2]
@@ -222,6 +234,15 @@
         server.stop()
         self._run.free_addresses.append(server.address)
 
+    def _inject_host_unlisted(self, entry: ScheduleEntry) -> None:
+        server = self._pick_backend_server(entry)
+        if server is None or self._run.store.faults.is_down:
+            return
+        self._run.add_backend_server(server.service)
+        server.unlist()
+        gevent.sleep(entry.seconds)
+        server.stop()
+
     def _inject_host_crash(self, entry: ScheduleEntry) -> None:
         server = self._pick_backend_server(entry)
         if server is None:
@@ -244,7 +265,9 @@
         )
 
     def _inject_malformed(self, entry: ScheduleEntry) -> None:
-        values = (b"", b"[]", b'{"service":5}', b"\xff\xfe")
+        values = MALFORMED_VALUES
+        if not self._run.has_earlier_build:
+            values += ODD_VALUES
         value = values[entry.pick % len(values)]
         self._run.store.put(f"servers/i-bad{entry.pick % 9}", value)
 
--- a/deploy/soak/run.py
+++ b/deploy/soak/run.py
@@ -16,10 +16,16 @@
 from backend_servers import N_SERVERS_BY_SERVICE, BackendServer, SharedState
 from callers import Caller, CallerFlow, Routers
 from evacuations import Evacuations
-from fleet import Balancer, Fleet, Ports
+from fleet import BALANCER_MAIN, Balancer, Fleet, Ports
 from injector import Injector
+from losses import Losses
 from monitor import InvariantMonitor
-from schedule import generate_evacuations, generate_restores, generate_schedule
+from schedule import (
+    generate_evacuations,
+    generate_restores,
+    generate_schedule,
+    generate_unlistings,
+)
 from store import SimulatedStore, encode_document
 from versions import check_versions, fetch_metrics
 
@@ -52,6 +58,11 @@
         Whether the store also returns from older copies.
     has_evacuations : bool
         Whether data centres are evacuated, and servers start cold.
+    has_losses : bool
+        Whether answers to openings are lost, callers pause and use ports again, and
+        servers lose their records without draining.
+    mains : tuple of Path
+        Programs of the builds that balancers run in turn.
     """
 
     def __init__(
@@ -63,6 +74,8 @@
         *,
         has_restores: bool,
         has_evacuations: bool,
+        has_losses: bool,
+        mains: tuple[Path, ...],
     ) -> None:
         self._random = Random(seed)
         self._seconds = seconds
@@ -83,8 +96,13 @@
             self._schedule += generate_restores(seed, seconds)
         if has_evacuations:
             self._schedule += generate_evacuations(seed, seconds)
-        if has_restores or has_evacuations:
+        if has_losses:
+            self.shared.losses = Losses(seed)
+            self._schedule += generate_unlistings(seed, seconds)
+        if has_restores or has_evacuations or has_losses:
             self._schedule.sort()
+        self._mains = mains
+        self.has_earlier_build = len(mains) > 1
         self._ports = Ports(7_101, 7_102, 7_103, 7_104, 7_105, 7_106)
         self.fleet = Fleet(self.monitor, self._create_balancers(n_balancers, directory))
         self._routers = Routers(self.fleet)
@@ -141,6 +159,7 @@
                 store=self._store_address,
                 directory=directory,
                 extra_settings=warm_up.SETTINGS if self.evacuations else {},
+                mains=self._mains[number % len(self._mains) :] + self._mains,
             )
             for number, host in enumerate(hosts)
         ]
@@ -215,7 +234,8 @@
             self._recent_outcomes["failed"] += 1
             return
         is_idempotent = self._random.random() < 0.7
-        for _ in range(self._random.choice((1, 1, 1, 5, 20))):
+        pauses = self._draw_pauses()
+        for seconds in pauses:
             self._n_requests += 1
             request_id = f"r{self._n_requests}"
             outcome = flow.send_request(request_id, is_idempotent=is_idempotent)
@@ -224,8 +244,19 @@
             if outcome != "answered":
                 self._check_interruption(flow, opened_at, destination, outcome)
                 break
-            gevent.sleep(self._random.uniform(0.0, 0.2))
+            gevent.sleep(seconds)
         flow.close()
+        if outcome == "answered":
+            caller.release(flow)
+
+    def _draw_pauses(self) -> Iterator[float]:
+        """Yield the pause after each request of a flow."""
+        pauses = self.shared.losses and self.shared.losses.draw_pauses()
+        if pauses is not None:
+            yield from pauses
+            return
+        for _ in range(self._random.choice((1, 1, 1, 5, 20))):
+            yield self._random.uniform(0.0, 0.2)
 
     def _check_interruption(
         self, flow: CallerFlow, opened_at: float, destination: bytes, outcome: str
@@ -373,6 +404,8 @@
     *,
     has_restores: bool = False,
     has_evacuations: bool = False,
+    has_losses: bool = False,
+    mains: tuple[Path, ...] = (BALANCER_MAIN,),
 ) -> tuple[dict[str, Any], Path]:
     """Execute one run; return its report and its log directory."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -383,5 +416,7 @@
         directory,
         has_restores=has_restores,
         has_evacuations=has_evacuations,
+        has_losses=has_losses,
+        mains=mains,
     ).execute()
     return {"seed": seed, "seconds": seconds, **report}, directory
--- a/deploy/soak/schedule.py
+++ b/deploy/soak/schedule.py
@@ -26,6 +26,11 @@
 """An evacuation lasts longer than the 5 s after which it is checked."""
 
 
+UNLISTED_SECONDS = 10.0
+"""Time for which a server serves on without its record. It may get no openings after
+3 s, once no fault is recent."""
+
+
 class ScheduleEntry(NamedTuple):
     """Start time, kind and duration of an injection; `pick` selects its target."""
 
@@ -146,6 +151,29 @@
     return seconds_into_cycle >= FAULT_PHASE_SECONDS
 
 
+def generate_unlistings(seed: int, seconds: float) -> list[ScheduleEntry]:
+    """Return losses of servers' records, one in each phase of planned changes.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    seconds : float
+        Length of the run.
+    """
+    random = Random(f"unlistings of {seed}")
+    entries = []
+    at = START_SECONDS + FAULT_PHASE_SECONDS
+    while at + UNLISTED_SECONDS < seconds - RECOVERY_SECONDS:
+        begins_at = round(at + random.uniform(0.0, 4.0), 2)
+        pick = random.getrandbits(30)
+        entries.append(
+            ScheduleEntry(begins_at, "host_unlisted", UNLISTED_SECONDS, pick)
+        )
+        at += FAULT_PHASE_SECONDS + PLANNED_PHASE_SECONDS
+    return entries
+
+
 def generate_schedule(seed: int, seconds: float) -> list[ScheduleEntry]:
     """Return the entries of a run in chronological order.
 
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -13,8 +13,15 @@
 import gevent
 from backend_servers import BackendServer, SharedState
 from evacuations import Evacuations
+from losses import MIN_FREE_PORTS, MIN_UNUSED_SECONDS, Losses, Ports
 from monitor import InvariantMonitor
-from schedule import EVACUATION_RECOVERY_SECONDS, generate_evacuations
+from packets import SYN, Packet
+from schedule import (
+    EVACUATION_RECOVERY_SECONDS,
+    UNLISTED_SECONDS,
+    generate_evacuations,
+    generate_unlistings,
+)
 from store import SimulatedStore
 from warm_up import WarmUp, WarmUpCheck
 
@@ -26,6 +33,53 @@
     )
 
 
+class LossesTest(unittest.TestCase):
+    """What a run with losses adds."""
+
+    def test_only_the_first_answer_to_an_opening_is_ever_lost(self):
+        """Guards against flows that never open."""
+        losses = Losses(1)
+        lost = [losses.loses_answer(b"flow", number) for number in range(1_000)]
+        again = [losses.loses_answer(b"flow", number) for number in range(1_000)]
+        self.assertTrue(10 < sum(lost) < 60, sum(lost))
+        self.assertFalse(any(again))
+
+    def test_ports_are_used_again_after_a_while(self):
+        """Guards against callers that never use a port twice."""
+        for reuses, n_ports in ((True, MIN_FREE_PORTS + 5), (False, 100)):
+            ports = Ports(reuses=reuses)
+            taken = []
+            for number in range(100):
+                now = number * MIN_UNUSED_SECONDS
+                taken.append(ports.take(now))
+                ports.release(bytes(10) + taken[-1], now)
+            self.assertLessEqual(len(set(taken)), n_ports)
+            self.assertEqual(len(set(taken)) < 100, reuses)
+
+    def test_records_are_lost_in_phases_of_planned_changes_only(self):
+        """Guards against a check that a fault window always suspends."""
+        entries = generate_unlistings(7, 200.0)
+        self.assertEqual(len(entries), 8)
+        for entry in entries:
+            seconds_into_cycle = (entry.at - 2.0) % 24.0
+            self.assertGreaterEqual(seconds_into_cycle, 8.0)
+            self.assertLess(seconds_into_cycle + UNLISTED_SECONDS, 24.0)
+
+    def test_opening_at_a_server_that_lost_its_record_is_reported(self):
+        """Guards against a check that passes whatever arrives."""
+        monitor = monitor_at(12)
+        shared = SharedState(SimulatedStore(Random(1)), monitor, Random(1))
+        server = BackendServer(
+            "i-1", "lookup", "luzon-a", ("127.0.0.1", 0), caller_port=1, shared=shared
+        )
+        shared.services_by_destination[bytes(6)] = {"lookup"}
+        packet = Packet(0, SYN, bytes(4), bytes(4), 0, 1, 0, 1, 0, b"")
+        for seconds, n_violations in ((2.9, 0), (3.1, 1)):
+            server.unlisted_since = monitor.elapsed_seconds - seconds
+            server._accept_flow(packet)
+            self.assertEqual(len(monitor.violations), n_violations)
+
+
 class WarmUpCheckTest(unittest.TestCase):
     """The check of the limit, here of three openings a second for six seconds."""
 
