Stop: deregistration uses a client of its own

Seen by the review, no case: a planned stop while the store leaves a renewal unanswered ends with ConcurrentObjectUseError and status 1, as deregistration uses the connection on which the renewal waits. The new test failed before with that error.

--- a/deploy/tests/test_store_client.py
+++ b/deploy/tests/test_store_client.py
@@ -4,8 +4,13 @@
 import socket
 import threading
 import unittest
+from random import Random
+
+import gevent
+from gevent.server import StreamServer
 
 from stoattray_balancer.steering.early_request import send_early
+from stoattray_balancer.steering.store_reader import Registration
 from stoattray_platform.early_read import FIRST_PAGE_PATH
 from stoattray_platform.store_client import PlatformStoreClient
 
@@ -78,5 +83,55 @@
         self.assertEqual([record.value for record in records], [b"{}", b"", b"", b"{}"])
 
 
+class DeregistrationTest(unittest.TestCase):
+    """A balancer that stops while the store leaves a renewal unanswered."""
+
+    def test_stop_beside_a_waiting_renewal(self):
+        """Guards against a planned stop that ends with an error."""
+        answers = [b'{"lease":7}', b'{"revision":1}', None, b"{}"]
+        requests = []
+
+        def serve(connection, _):
+            requests.append(connection.recv(1_000).split(b"\r\n")[0])
+            body = answers[len(requests) - 1]
+            if body is None:
+                gevent.sleep(5.0)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            connection.sendall(head + body)
+
+        server = StreamServer((HOST, 0), serve)
+        server.start()
+        self.addCleanup(server.stop, 0)
+
+        def new_client():
+            return PlatformStoreClient((HOST, server.server_port), calls_per_second=100)
+
+        registration = Registration(
+            new_client(),
+            "edge-1",
+            b"me",
+            min_lease=1_000,
+            calls_per_second=100.0,
+            n_members=lambda: 1,
+            era=lambda: 0,
+            random=Random(1),
+            on_event=lambda name, **fields: None,
+        )
+        registration._register_or_renew()
+        renewal = gevent.spawn(registration._register_or_renew)
+        self.addCleanup(renewal.kill)
+        gevent.sleep(0.1)
+        registration.deregister(new_client())
+        self.assertEqual(
+            [request.split()[1] for request in requests],
+            [
+                b"/api/kv-lease",
+                b"/api/kv-txn",
+                b"/api/kv-keep/7",
+                b"/api/kv-lease-end/7",
+            ],
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -249,7 +249,7 @@
                 break
             gevent.sleep(STOP_CHECK_SECONDS)
         with gevent.Timeout(DEREGISTER_TIMEOUT_SECONDS, False):
-            self._registration.deregister()
+            self._registration.deregister(self._new_client(self._settings))
 
     def _wait_for_ready_peers(self, deadline: Millis) -> None:
         """Wait until enough other balancers of the data centre are ready."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/store_reader.py
@@ -270,10 +270,17 @@
             self._backoff.record_success()
             self._wait_until_due()
 
-    def deregister(self) -> None:
-        """Revoke the lease, which deletes the record; if that fails, it expires."""
+    def deregister(self, client: StoreClient) -> None:
+        """Revoke the lease, which deletes the record; if that fails, it expires.
+
+        Parameters
+        ----------
+        client : StoreClient
+            A client without other calls: a renewal may be waiting for its answer, and
+            a connection carries one call at a time.
+        """
         if self._lease is not None:
-            self._client.revoke_lease(self._lease)
+            client.revoke_lease(self._lease)
             self._lease = None
 
     def _register_or_renew(self) -> None | Refused:
--- a/tests/balancer/steering/test_store_reader.py
+++ b/tests/balancer/steering/test_store_reader.py
@@ -252,5 +252,5 @@
     def test_deregistering_revokes_the_lease(self):
         self.step(grant_lease=7, put_member=None)
         self.store.responses = {"revoke_lease": [None]}
-        self.registration.deregister()
+        self.registration.deregister(self.store)
         self.assertEqual(self.store.calls[-1], ("revoke_lease", 7))
