--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_frames.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_frames.py
@@ -18,6 +18,10 @@
 """Limit for connecting and for each chunk. Connecting takes some 10 ms; an unreachable
 peer must not delay a start, which has to serve within 12 s."""
 
+PULL_TIMEOUT_SECONDS = 8.0
+"""Limit for a whole pull. Callers have to be served 12 s after the loss of all
+balancers; an uncompressed snapshot of 3,000 servers takes 1.2 s at 5 Mbit/s."""
+
 CHUNK_BYTES = 65_536
 MAX_FRAME_BYTES = 16_777_216
 """Largest accepted frame; 20,000 servers and 2,200 routes are about 8 MB."""
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/forwarding_health.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/forwarding_health.py
@@ -18,7 +18,6 @@
     """
 
     def __init__(self) -> None:
-        self.n_errors = 0
         self._failing_since: dict[bool, Millis] = {}
         self._failed_at: dict[bool, Millis] = {}
 
@@ -29,7 +28,6 @@
 
     def note_error(self, now: Millis, *, is_opening: bool) -> None:
         """Note that handling a packet ended with an unexpected error."""
-        self.n_errors += 1
         self._failing_since.setdefault(is_opening, now)
         self._failed_at[is_opening] = now
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -6,27 +6,25 @@
 from random import Random
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
 from stoattray_balancer._throttling import RateLimiter
 from stoattray_balancer.steering._frames import (
     PROGRESS_TIMEOUT_SECONDS,
+    PULL_TIMEOUT_SECONDS,
     connect,
     receive_exactly,
     receive_frame_length,
     send_frame,
 )
 from stoattray_balancer.steering._peer_codec import (
-    SyncRequest,
     decode_difference,
     decode_heartbeat,
-    decode_sync_request,
-    encode_difference,
     encode_heartbeat,
     encode_sync_request,
 )
+from stoattray_balancer.steering.difference_server import DifferenceServer
 from stoattray_core._errors import ErrorKind
 from stoattray_core._identifiers import Address, Millis
 from stoattray_core._sentinel import Refused
@@ -54,10 +52,6 @@
 N_LISTED_MEMBERS = 4
 """Members listed in each heartbeat; a new balancer learns all in a few seconds."""
 
-PULL_TIMEOUT_SECONDS = 8.0
-"""Limit for a whole pull. Callers have to be served 12 s after the loss of all
-balancers; an uncompressed snapshot of 3,000 servers takes 1.2 s at 5 Mbit/s."""
-
 MIN_SNAPSHOT_BYTES = 32_768
 """Responses of this size or more count as snapshots, which are received one at a time
 so that they do not share a slow link."""
@@ -78,11 +72,6 @@
 RELAY_PREFIX = b"R"
 """First byte of a relayed packet; heartbeats start with the msgpack tag of an array."""
 
-MAX_CONCURRENT_SNAPSHOTS = 3
-"""Most snapshots sent at the same time. Further requesters get a list of members to ask
-instead: when all balancers start, those with a snapshot double in each round, while
-three seeds alone would saturate their links for half a minute at 300 balancers."""
-
 N_LISTED_MEMBERS_WHEN_BUSY = 24
 """Members listed in place of a snapshot."""
 
@@ -153,7 +142,9 @@
         self._relay_limit = RateLimiter(RELAYS_PER_SECOND)
         self._has_new_pins = Event()
         self._pulling_from: set[Address] = set()
-        self._n_snapshots_sending = 0
+        self._differences = DifferenceServer(
+            steering.replica, self._heartbeat_beside_changes, on_event
+        )
         self._is_receiving_snapshot = False
         self._socket = stdlib_socket.socket(
             stdlib_socket.AF_INET, stdlib_socket.SOCK_DGRAM
@@ -175,7 +166,7 @@
 
     def tcp_server(self, address: Address) -> StreamServer:
         """Return a server, not yet started, that sends differences to peers."""
-        return StreamServer(address, self._handle_connection)
+        return StreamServer(address, self._differences.handle)
 
     def run_heartbeats(self) -> None:
         """Send heartbeats forever."""
@@ -390,39 +381,15 @@
         finally:
             self._is_receiving_snapshot = False
 
-    def _send_difference(self, connection: socket.socket, request: SyncRequest) -> None:
-        """Send the requested changes; above the snapshot limit, only members to ask."""
-        difference = self._steering.replica.changes_since(request.after)
-        n_listed = N_LISTED_MEMBERS
-        if (
-            difference.is_snapshot
-            and self._n_snapshots_sending >= MAX_CONCURRENT_SNAPSHOTS
-        ):
-            difference = Difference(0, [], False)
-            n_listed = N_LISTED_MEMBERS_WHEN_BUSY
-        heartbeat = self.build_heartbeat(
-            n_listed=n_listed,
+    def _heartbeat_beside_changes(self, is_busy: bool) -> Heartbeat:
+        """Return the heartbeat that goes with requested changes, with all pins.
+
+        Parameters
+        ----------
+        is_busy : bool
+            Whether it takes the place of a snapshot, so that it lists more members.
+        """
+        return self.build_heartbeat(
+            n_listed=N_LISTED_MEMBERS_WHEN_BUSY if is_busy else N_LISTED_MEMBERS,
             pinned_flows=self._steering.pinning.pins.all(self._clock()),
         )
-        data = encode_difference(
-            heartbeat, difference, may_compress=request.may_compress
-        )
-        self._n_snapshots_sending += difference.is_snapshot
-        try:
-            send_frame(connection, data)
-        finally:
-            self._n_snapshots_sending -= difference.is_snapshot
-
-    def _handle_connection(self, connection: socket.socket, _: Address) -> None:
-        try:
-            with gevent.Timeout(PULL_TIMEOUT_SECONDS, TimeoutError("too slow")):
-                n_bytes = receive_frame_length(connection)
-                request = decode_sync_request(receive_exactly(connection, n_bytes))
-                if isinstance(request, Refused):
-                    self._on_event("peer_request_refused", reason=request.detail)
-                    return
-                self._send_difference(connection, request)
-        except OSError as error:
-            self._on_event("peer_request_failed", error=repr(error))
-        finally:
-            connection.close()
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process_metrics.py
@@ -58,6 +58,10 @@
     yield from format_gauge(
         "stoattray_malformed_records_total", steering.cluster_state.n_malformed
     )
+    yield from format_gauge(
+        "stoattray_failed_records_total", steering.cluster_state.n_failed
+    )
+    yield from format_gauge("stoattray_pinned_flows", len(steering.pinning.pins))
     yield from format_gauge("stoattray_backend_servers", len(steering.servers))
     n_suspects = sum(steering.is_suspect(row, now) for row in steering.servers)
     yield from format_gauge("stoattray_suspect_backend_servers", n_suspects)
--- a/packages/stoattray-core/src/stoattray_core/steering/pinned_flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinned_flows.py
@@ -90,11 +90,6 @@
     def __contains__(self, key: object) -> bool:
         return key in self._rows
 
-    @property
-    def has_unannounced(self) -> bool:
-        """Return whether heartbeats have pins to carry."""
-        return len(self._announced) > 0
-
     def find(self, packet: Packet) -> PinnedFlow | None:
         """Return the pin of the flow that a packet belongs to, or None."""
         row = self._rows.get(packet.key)
--- a/packages/stoattray-core/src/stoattray_core/steering/pinning.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinning.py
@@ -15,6 +15,7 @@
     PinnedFlow,
     PinTable,
     is_near,
+    is_of_flow,
 )
 from stoattray_core.steering.protocols import EventSink
 from stoattray_core.steering.servers import ServerRow, ServerTable
@@ -151,3 +152,15 @@
         pinned = self._servers.by_cookie(pin.cookie)
         if not flow.is_established or pinned is not flow.server:
             self._flows.close(flow)
+
+
+def is_of_later_flow(packet: Packet, flow: FlowRow) -> bool:
+    """Return whether a packet is of a later flow from the port of a row's flow.
+
+    The earlier flow has ended, and the later one opened, by way of other balancers.
+    """
+    if packet.cookie == flow.server.cookie:
+        return False
+    if not flow.is_established:
+        return not is_near(packet.sequence, flow.opening_sequence)
+    return not is_of_flow(packet, flow.first_sequence, flow.first_acknowledgement)
--- a/packages/stoattray-core/src/stoattray_core/steering/steering.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/steering.py
@@ -26,7 +26,7 @@
 from stoattray_core.steering.evacuations import Evacuations
 from stoattray_core.steering.fast_failure_detector import FastFailureDetector
 from stoattray_core.steering.flow_placement import FlowPlacement
-from stoattray_core.steering.flows import FlowRow, FlowTable
+from stoattray_core.steering.flows import FlowTable
 from stoattray_core.steering.heartbeat import Heartbeat
 from stoattray_core.steering.histogram import Histogram
 from stoattray_core.steering.isolation import Isolation
@@ -38,8 +38,7 @@
 from stoattray_core.steering.packet import Packet
 from stoattray_core.steering.peer_reports import PeerReports
 from stoattray_core.steering.peer_state import PeerState
-from stoattray_core.steering.pinned_flows import is_near, is_of_flow
-from stoattray_core.steering.pinning import Pinning
+from stoattray_core.steering.pinning import Pinning, is_of_later_flow
 from stoattray_core.steering.priority_levels import CutOff
 from stoattray_core.steering.protocols import EventSink, RecordDecoder
 from stoattray_core.steering.remote_traffic import RemoteTraffic
@@ -323,7 +322,7 @@
         flow = self._flows.get(packet.key)
         if packet.is_opening:
             return self._openings.route(packet, flow, now)
-        if flow is not None and self._is_of_later_flow(packet, flow):
+        if flow is not None and is_of_later_flow(packet, flow):
             self._flows.close(flow)
             flow = None
         if flow is None:
@@ -338,17 +337,6 @@
             self._flows.close(flow)
         return flow.server
 
-    def _is_of_later_flow(self, packet: Packet, flow: FlowRow) -> bool:
-        """Return whether a packet is of a later flow from the port of a row's flow.
-
-        The earlier flow has ended, and the later one opened, by way of other balancers.
-        """
-        if packet.cookie == flow.server.cookie:
-            return False
-        if not flow.is_established:
-            return not is_near(packet.sequence, flow.opening_sequence)
-        return not is_of_flow(packet, flow.first_sequence, flow.first_acknowledgement)
-
     def detect_pause(self, now: Millis) -> None:
         """Detect a pause of this process; called before any packet is routed.
 
--- a/tests/balancer/steering/test_peers.py
+++ b/tests/balancer/steering/test_peers.py
@@ -23,8 +23,8 @@
     encode_difference,
     encode_heartbeat,
 )
+from stoattray_balancer.steering.difference_server import MAX_CONCURRENT_SNAPSHOTS
 from stoattray_balancer.steering.peers import (
-    MAX_CONCURRENT_SNAPSHOTS,
     MIN_SNAPSHOT_BYTES,
     PIN_BATCH_SECONDS,
     Peers,
@@ -162,7 +162,7 @@
         """Yield a function that returns what the balancer answers to a request."""
         own, other = gevent.socket.socketpair()
         with own, other:
-            self.peers._send_difference(own, SyncRequest(Version(0, 0), True))
+            self.peers._differences.send(own, SyncRequest(Version(0, 0), True))
             yield lambda: receive_exactly(other, receive_frame_length(other))
 
     @contextmanager
@@ -282,7 +282,7 @@
         request = SyncRequest(after=Version(0, 0), may_compress=False)
         links = [SlowLink() for _ in range(MAX_CONCURRENT_SNAPSHOTS + 1)]
         sending = [
-            gevent.spawn(self.peers._send_difference, link, request) for link in links
+            gevent.spawn(self.peers._differences.send, link, request) for link in links
         ]
         gevent.sleep(0.1)
         self.assertEqual(
@@ -290,5 +290,5 @@
         )
         gevent.joinall(sending)
         late = SlowLink()
-        self.peers._send_difference(late, request)
+        self.peers._differences.send(late, request)
         self.assertTrue(late.is_snapshot)
--- a/tests/core/steering/test_pinning.py
+++ b/tests/core/steering/test_pinning.py
@@ -180,7 +180,6 @@
             [announced] = self.pins.pop_announcements(START_MILLIS + number)
             self.assertEqual(announced, pin(age=number))
         self.assertEqual(self.pins.pop_announcements(START_MILLIS), ())
-        self.assertFalse(self.pins.has_unannounced)
 
     def test_each_pin_is_announced_before_any_is_repeated(self):
         n_pins = MAX_PINS_PER_MESSAGE + 5
@@ -221,7 +220,7 @@
         self.assertEqual(len(self.pins), 1)
         self.pins.expire(START_MILLIS + FLOW_LIFE_MILLIS - 50_000)
         self.assertEqual(len(self.pins), 0)
-        self.assertFalse(self.pins.has_unannounced)
+        self.assertEqual(self.pins.pop_announcements(START_MILLIS), ())
         self.add(pin(age=FLOW_LIFE_MILLIS))
         self.assertEqual(len(self.pins), 0)
 
