Pins: announced with regular heartbeats only

The extra heartbeats that announced a pin at once also went to other data centres, and brought reports of load there more often than admission control is made for.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -6,7 +6,6 @@
 from random import Random
 
 import gevent
-from gevent.event import Event
 from gevent.server import StreamServer
 
 from stoattray_balancer._throttling import RateLimiter
@@ -42,10 +41,6 @@
 REMOTE_HEARTBEAT_EVERY = 3
 """One in this many heartbeats also goes to other data centres."""
 
-PIN_BATCH_SECONDS = 0.05
-"""Pause before a heartbeat that only announces pinned flows, so that it carries all of
-a burst. A router can move a flow to another balancer at any time."""
-
 N_PIN_SENDERS = 4
 """Members of a data centre that send their pinned flows to a new one, on average."""
 
@@ -140,7 +135,6 @@
         self._on_relayed = on_relayed
         self._on_event = on_event
         self._relay_limit = RateLimiter(RELAYS_PER_SECOND)
-        self._has_new_pins = Event()
         self._pulling_from: set[Address] = set()
         self._differences = DifferenceServer(
             steering.replica, self._heartbeat_beside_changes, on_event
@@ -177,15 +171,6 @@
             n_sent += 1
             gevent.sleep(HEARTBEAT_SECONDS)
 
-    def announce_pins(self) -> None:
-        """Send a heartbeat soon after a flow was pinned here, forever."""
-        self._steering.pinning.on_pinned = self._has_new_pins.set
-        while True:
-            self._has_new_pins.wait()
-            gevent.sleep(PIN_BATCH_SECONDS)
-            self._has_new_pins.clear()
-            self._send_heartbeats(include_remote=True)
-
     def pull_until_ready(self) -> None:
         """Pull from all seeds, then from ready members, until this balancer is ready.
 
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/process.py
@@ -341,7 +341,6 @@
             "isolation": self._isolation_checks.run,
             "seeds": self._peers.pull_until_ready,
             "heartbeats": self._peers.run_heartbeats,
-            "pins": self._peers.announce_pins,
             "registration": self._registration.run,
             "settings": self._watch_settings,
             "log": self._log.run,
--- a/packages/stoattray-core/src/stoattray_core/steering/pinned_flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinned_flows.py
@@ -21,7 +21,7 @@
 MAX_PINS_PER_MESSAGE = 32
 """Pins in one datagram, some 1,100 bytes."""
 
-N_ANNOUNCEMENTS = 13
+N_ANNOUNCEMENTS = 12
 """Heartbeats that carry a new pin. Four of them also go to other data centres, whose
 balancers get a flow's packets if none of its own data centre is ready."""
 
--- a/packages/stoattray-core/src/stoattray_core/steering/pinning.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinning.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from stoattray_core._identifiers import Millis
 from stoattray_core.steering.flows import FlowRow, FlowTable
@@ -37,11 +37,6 @@
         another server than that of their cookie.
     on_event : EventSink
         Receives events.
-
-    Attributes
-    ----------
-    on_pinned : callable
-        Called when a flow was pinned here, to announce it soon.
     """
 
     def __init__(
@@ -53,7 +48,6 @@
         counters: Counter[str],
         on_event: EventSink,
     ) -> None:
-        self.on_pinned: Callable[[], None] = lambda: None
         self.pins = PinTable(flow_life_millis)
         self._servers = servers
         self._flows = flows
@@ -134,7 +128,6 @@
             n_tried=len(flow.tried_servers),
             has_other_openings=flow.has_other_openings,
         )
-        self.on_pinned()
 
     def _is_later(self, pin: PinnedFlow) -> bool:
         """Return whether an own row of the flow is older evidence than a pin."""
