Store health: a change of reader is no outage

Cause: a balancer that had made no call for 6 s took its next answer for the end of an outage, and reported that to all. While another one reads, the gap is normal, so each stop of a reader made all of them keep removed servers for 2.6 s more.

Change: reads that others report close the gap.

Evidence: the new unit test failed before.

--- a/packages/stoattray-core/src/stoattray_core/steering/store_health.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/store_health.py
@@ -5,8 +5,8 @@
 from stoattray_core._identifiers import Millis
 
 MAX_ANSWER_GAP_MILLIS = 6_000
-"""A reader without an answer for longer was suspended or disconnected in the meantime;
-answers arrive at least every 1.8 s."""
+"""A balancer that neither read the store nor heard of a read for longer was suspended
+or disconnected in the meantime; readers get answers at least every 1.8 s."""
 
 
 class StoreState(Enum):
@@ -33,7 +33,7 @@
         self._recovery_grace_millis = recovery_grace_millis
         self._state = StoreState.UNKNOWN
         self._recovered_at: Millis | None = None
-        self._answered_at: Millis | None = None
+        self._read_at: Millis | None = None
         self._failed_at: Millis = 0
         self._read_again_at: Millis | None = None
 
@@ -48,7 +48,7 @@
             self._state = StoreState.UNHEALTHY
         has_recovered = self._state is StoreState.UNHEALTHY
         self._state = StoreState.HEALTHY
-        self._answered_at = now
+        self._read_at = now
         if has_recovered:
             self._recovered_at = now
         return has_recovered
@@ -63,6 +63,8 @@
 
     def note_read(self, at: Millis) -> None:
         """Record that some balancer read the store at a time."""
+        if self._read_at is None or at > self._read_at:
+            self._read_at = at
         if self._read_again_at is None and at > self._failed_at:
             self._read_again_at = at
 
@@ -93,7 +95,4 @@
         return at is not None and now - at >= self._recovery_grace_millis
 
     def _had_gap(self, now: Millis) -> bool:
-        return (
-            self._answered_at is not None
-            and now - self._answered_at > MAX_ANSWER_GAP_MILLIS
-        )
+        return self._read_at is not None and now - self._read_at > MAX_ANSWER_GAP_MILLIS
--- a/tests/core/steering/test_store_health.py
+++ b/tests/core/steering/test_store_health.py
@@ -62,6 +62,13 @@
         self.health.note_failure(START_MILLIS + 5_000)
         self.assertFalse(self.health.is_settled(START_MILLIS + 5_000))
 
+    def test_gap_in_own_calls_is_no_outage_while_others_read(self):
+        """Guards against a planned stop of the reader that counts as an outage."""
+        later = START_MILLIS + 10 * MAX_ANSWER_GAP_MILLIS
+        self.health.note_read(later - MAX_ANSWER_GAP_MILLIS)
+        self.assertFalse(self.health.note_response(later))
+        self.assertTrue(self.health.is_settled(later))
+
     def test_long_gap_between_answers_counts_as_outage(self):
         later = START_MILLIS + MAX_ANSWER_GAP_MILLIS + 1
         self.assertTrue(self.health.note_response(later))
