Pins: only starting balancers get all of them

Cause: every answer to a request for changes carried all pins, also for a balancer that only lacks one change; and each balancer sent all pins to each one that it newly heard, after the loss of all also to those of other data centres.

Change: a request says whether its sender starts (a trailing field, which earlier releases ignore); only then the answer carries pins. Pins are sent to a member that is heard again only in the own data centre, and not if it started, as it asks for them. Passed-on pins wait for a heartbeat that stays in the data centre.

--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/_peer_codec.py
@@ -129,15 +129,19 @@
         Version up to which the requester's replica is complete.
     may_compress : bool
         Whether the requester supports compressed responses.
+    wants_pins : bool
+        Whether the requester starts, so that it has no pinned flows.
     """
 
     after: Version
     may_compress: bool
+    wants_pins: bool = False
 
 
-def encode_sync_request(after: Version) -> bytes:
+def encode_sync_request(after: Version, *, wants_pins: bool = False) -> bytes:
     """Return the request for the changes after a version."""
-    return msgpack.packb([FORMAT_VERSION, after.revision, True, after.era])
+    row = [FORMAT_VERSION, after.revision, True, after.era]
+    return msgpack.packb([*row, True] if wants_pins else row)
 
 
 def decode_sync_request(data: bytes) -> SyncRequest | Refused:
@@ -150,6 +154,7 @@
         return SyncRequest(
             Version(_read_number(era), _read_number(after_revision)),
             may_compress=more[:1] == [True],
+            wants_pins=more[2:3] == [True],
         )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return Refused(ErrorKind.MESSAGE_MALFORMED, repr(error))
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/difference_server.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/difference_server.py
@@ -36,8 +36,8 @@
     replica : Replica
         Replica that holds the changes.
     build_heartbeat : callable
-        Returns the heartbeat that goes with an answer; takes whether it takes the place
-        of a snapshot.
+        Returns the heartbeat that goes with an answer; takes the request, and whether
+        the heartbeat takes the place of a snapshot.
     on_event : EventSink
         Receives events.
     """
@@ -45,7 +45,7 @@
     def __init__(
         self,
         replica: Replica,
-        build_heartbeat: Callable[[bool], Heartbeat],
+        build_heartbeat: Callable[[SyncRequest, bool], Heartbeat],
         on_event: EventSink,
     ) -> None:
         self._replica = replica
@@ -78,7 +78,7 @@
         if is_busy:
             difference = Difference(0, [], False)
         data = encode_difference(
-            self._build_heartbeat(is_busy),
+            self._build_heartbeat(request, is_busy),
             difference,
             may_compress=request.may_compress,
         )
--- a/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
+++ b/packages/stoattray-balancer/src/stoattray_balancer/steering/peers.py
@@ -18,6 +18,7 @@
     send_frame,
 )
 from stoattray_balancer.steering._peer_codec import (
+    SyncRequest,
     decode_difference,
     decode_heartbeat,
     encode_heartbeat,
@@ -179,7 +180,10 @@
         addresses = list(self.seeds)
         while True:
             was_ready = self._steering.is_ready
-            tasks = [gevent.spawn(self._pull, address) for address in addresses]
+            tasks = [
+                gevent.spawn(self._pull, address, wants_pins=True)
+                for address in addresses
+            ]
             gevent.joinall(tasks, timeout=PROGRESS_TIMEOUT_SECONDS)
             while self._is_receiving_snapshot:
                 gevent.sleep(SNAPSHOT_CHECK_SECONDS)
@@ -258,14 +262,19 @@
         # in all of them they would take up to 13 KB a second.
         heartbeat = self.build_heartbeat(
             includes_load=include_remote,
-            pinned_flows=self._steering.pinning.pins.pop_announcements(self._clock()),
+            pinned_flows=self._steering.pinning.pins.pop_announcements(
+                self._clock(), leaves_data_centre=include_remote
+            ),
         )
         data = encode_heartbeat(heartbeat)
         for entry in recipients:
             self._send_datagram(data, entry)
 
     def _send_pins(self, entry: MemberEntry) -> None:
-        """Send all pinned flows to a member that may not have them."""
+        """Send all pinned flows to a member of the data centre that had been silent.
+
+        One that has started gets them with its first copy.
+        """
         now = self._clock()
         n_senders = len(self._steering.members.live_local(now))
         if self._random.random() * n_senders >= N_PIN_SENDERS:
@@ -308,9 +317,11 @@
         self._handle_heartbeat(heartbeat)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+        is_known = self._steering.members.knows_process(heartbeat.member)
         if self._steering.apply_heartbeat(heartbeat, self._clock()):
             self._on_event("member_heard", member=heartbeat.member.name)
-            self._send_pins(heartbeat.member)
+            if is_known and heartbeat.member.data_centre == self._own.data_centre:
+                self._send_pins(heartbeat.member)
         if heartbeat.version > self._steering.replica.version:
             address = (heartbeat.member.host, self._peer_port)
             may_pull = len(self._pulling_from) < MAX_CONCURRENT_PULLS
@@ -321,7 +332,7 @@
             ):
                 gevent.spawn(self._pull, address)
 
-    def _pull(self, address: Address) -> None:
+    def _pull(self, address: Address, *, wants_pins: bool = False) -> None:
         """Request the changes since the current version from a peer and apply them."""
         if address in self._pulling_from:
             return
@@ -329,7 +340,7 @@
         requested_at = self._clock()
         try:
             with gevent.Timeout(PULL_TIMEOUT_SECONDS, TimeoutError("too slow")):
-                response = self._request_difference(address)
+                response = self._request_difference(address, wants_pins=wants_pins)
         except (OSError, TimeoutError) as error:
             self._on_event("peer_unreachable", peer=address[0], error=repr(error))
             return
@@ -346,10 +357,11 @@
         )
 
     def _request_difference(
-        self, address: Address
+        self, address: Address, *, wants_pins: bool
     ) -> tuple[Heartbeat, Difference] | Refused:
+        after = self._steering.replica.version
         with connect(address) as connection:
-            send_frame(connection, encode_sync_request(self._steering.replica.version))
+            send_frame(connection, encode_sync_request(after, wants_pins=wants_pins))
             n_bytes = receive_frame_length(connection)
             if n_bytes < MIN_SNAPSHOT_BYTES:
                 return decode_difference(receive_exactly(connection, n_bytes))
@@ -366,15 +378,21 @@
         finally:
             self._is_receiving_snapshot = False
 
-    def _heartbeat_beside_changes(self, is_busy: bool) -> Heartbeat:
-        """Return the heartbeat that goes with requested changes, with all pins.
+    def _heartbeat_beside_changes(
+        self, request: SyncRequest, is_busy: bool
+    ) -> Heartbeat:
+        """Return the heartbeat that goes with requested changes.
 
         Parameters
         ----------
+        request : SyncRequest
+            The request; a starting balancer gets all pinned flows.
         is_busy : bool
             Whether it takes the place of a snapshot, so that it lists more members.
         """
+        has_pins = request.wants_pins and not is_busy
+        pins = self._steering.pinning.pins
         return self.build_heartbeat(
             n_listed=N_LISTED_MEMBERS_WHEN_BUSY if is_busy else N_LISTED_MEMBERS,
-            pinned_flows=self._steering.pinning.pins.all(self._clock()),
+            pinned_flows=pins.all(self._clock()) if has_pins else (),
         )
--- a/packages/stoattray-core/src/stoattray_core/steering/members.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/members.py
@@ -117,6 +117,15 @@
         """Return whether heartbeats go to a sample of this data centre's members."""
         return sum(self._is_local(row.entry) for row in self.rows) > N_LOCAL_TARGETS
 
+    def knows_process(self, entry: MemberEntry) -> bool:
+        """Return whether there was a heartbeat of this start of a member."""
+        row = self._rows.get(entry.name)
+        return (
+            row is not None
+            and row.heartbeat_at is not None
+            and row.entry.incarnation == entry.incarnation
+        )
+
     def discover(self, entry: MemberEntry, now: Millis) -> None:
         """Add or update a member from a third party.
 
--- a/packages/stoattray-core/src/stoattray_core/steering/pinned_flows.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinned_flows.py
@@ -56,14 +56,18 @@
 
 
 class _PinRow:
-    """One pin, and how many more heartbeats carry it."""
+    """One pin, and how many more heartbeats carry it.
 
-    __slots__ = ("n_announcements", "pin", "pinned_at")
+    Pins of others are passed on within the data centre only.
+    """
+
+    __slots__ = ("is_passed_on", "n_announcements", "pin", "pinned_at")
 
     def __init__(self, pin: PinnedFlow, pinned_at: Millis) -> None:
         self.pin = pin
         self.pinned_at = pinned_at
         self.n_announcements = 0
+        self.is_passed_on = False
 
     def to_pin(self, now: Millis) -> PinnedFlow:
         """Return the pin with its present age."""
@@ -102,7 +106,14 @@
             belongs = is_of_flow(packet, pin.sequence, pin.acknowledgement)
         return pin if belongs else None
 
-    def add(self, pin: PinnedFlow, now: Millis, *, n_announcements: int) -> bool:
+    def add(
+        self,
+        pin: PinnedFlow,
+        now: Millis,
+        *,
+        n_announcements: int,
+        is_passed_on: bool = False,
+    ) -> bool:
         """Add a pin unless a better one is held; return whether it was added.
 
         Of two pins for a flow the one with the earlier packet is better, as later
@@ -117,6 +128,8 @@
             Current time.
         n_announcements : int
             Heartbeats that are to carry it.
+        is_passed_on : bool
+            Whether it is another balancer's.
         """
         if pin.age >= self._flow_life_millis:
             return False
@@ -130,6 +143,7 @@
         self._announced.pop(pin.key, None)
         if n_announcements > 0:
             row.n_announcements = n_announcements
+            row.is_passed_on = is_passed_on
             self._announced[pin.key] = row
         if len(self._rows) > MAX_PINS:
             self.remove(next(iter(self._rows)))
@@ -140,9 +154,23 @@
         self._rows.pop(key, None)
         self._announced.pop(key, None)
 
-    def pop_announcements(self, now: Millis) -> tuple[PinnedFlow, ...]:
-        """Return the pins that the next heartbeat carries, those longest due first."""
-        keys = list(self._announced)[:MAX_PINS_PER_MESSAGE]
+    def pop_announcements(
+        self, now: Millis, *, leaves_data_centre: bool = False
+    ) -> tuple[PinnedFlow, ...]:
+        """Return the pins that the next heartbeat carries, those longest due first.
+
+        Parameters
+        ----------
+        now : Millis
+            Current time.
+        leaves_data_centre : bool
+            Whether the heartbeat also goes to other data centres.
+        """
+        keys = [
+            key
+            for key, row in self._announced.items()
+            if not (leaves_data_centre and row.is_passed_on)
+        ][:MAX_PINS_PER_MESSAGE]
         pins = []
         for key in keys:
             row = self._announced.pop(key)
--- a/packages/stoattray-core/src/stoattray_core/steering/pinning.py
+++ b/packages/stoattray-core/src/stoattray_core/steering/pinning.py
@@ -107,7 +107,9 @@
         """
         for pin in pins:
             if not self._is_later(pin):
-                added = self.pins.add(pin, now, n_announcements=n_announcements)
+                added = self.pins.add(
+                    pin, now, n_announcements=n_announcements, is_passed_on=True
+                )
                 if added:
                     self._close_contradicting(pin)
 
--- a/tests/balancer/steering/test_peer_codec.py
+++ b/tests/balancer/steering/test_peer_codec.py
@@ -173,6 +173,16 @@
         request = SyncRequest(Version(0, 12), may_compress=False)
         self.assertEqual(decode_sync_request(data), request)
 
+    def test_request_of_a_starting_balancer_is_read_by_earlier_releases(self):
+        """Guards against a start that earlier releases refuse to help."""
+        data = encode_sync_request(Version(2, 12), wants_pins=True)
+        self.assertEqual(
+            decode_sync_request(data),
+            SyncRequest(Version(2, 12), may_compress=True, wants_pins=True),
+        )
+        row = msgpack.unpackb(data)
+        self.assertEqual(msgpack.packb(row[:4]), encode_sync_request(Version(2, 12)))
+
     def test_field_of_a_later_version_is_ignored(self):
         cut_offs = (CutOffReport("lookup", 2, 250, 40),)
         for rows in ((), (LoadRow("luzon-a", "lookup", 1.0, 2.0, 3),)):
--- a/tests/core/steering/test_pinning.py
+++ b/tests/core/steering/test_pinning.py
@@ -159,6 +159,8 @@
             report = heartbeat("edge-2", pinned_flows=(pin(),))
             balancer.steering.apply_heartbeat(report, balancer.now)
             pins = balancer.steering.pinning.pins
+            remote = pins.pop_announcements(balancer.now, leaves_data_centre=True)
+            self.assertEqual(remote, ())
             self.assertEqual(len(pins.pop_announcements(balancer.now)), expected)
             self.assertEqual(pins.pop_announcements(balancer.now), ())
 
