Review case 8: a cut after each answered watch

In its first form the watches of one balancer were cut 1.2 to 2.4 s apart. Now each answered watch is followed by a cut one, 1.0 to 1.7 s apart.

Run: review/8/run.sh five times.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,6 @@
 from world import Pauses, World, has_trouble  # noqa: E402
 
 CUT_OFF = "edge-zone-b-1"
-CUT_EVERY_SECONDS = 1.2
 PER_SECOND = {"zone-a": 40.0, "zone-b": 20.0, "zone-c": 20.0}
 HEARTBEATS_MISSED_SECONDS = 3 * 1.2
 
@@ -23,12 +22,15 @@
 
 
 async def cut_watches(world: World) -> None:
-    """Cut a waiting watch of one balancer now and then."""
+    """Cut a waiting watch of one balancer after each one that was answered."""
+    store = world.store
     while True:
-        while world.store.cut_watch(CUT_OFF) == 0:
+        n_answered = store.n_watches_answered[CUT_OFF]
+        while store.cut_watch(CUT_OFF) == 0:
             await asyncio.sleep(0.005)
         world.note(f"the store cuts the waiting watch of {CUT_OFF}")
-        await asyncio.sleep(CUT_EVERY_SECONDS)
+        while store.n_watches_answered[CUT_OFF] == n_answered:
+            await asyncio.sleep(0.005)
 
 
 async def play(world: World) -> list[str]:
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -26,6 +27,7 @@
 
     def __init__(self) -> None:
         self.items: dict[str, dict[str, Any]] = {}
+        self.n_watches_answered: Counter[str] = Counter()
         self.on_change: Callable[[str, bytes | None, int], None] | None = None
         self._history: list[tuple[float, dict[str, Any]]] = []
         self._dropped_revision = 0
@@ -131,6 +133,8 @@
                 status, answer = await self._watch(query)
             finally:
                 self._waiting[name].discard(writer)
+            if not writer.is_closing():
+                self.n_watches_answered[name] += 1
         else:
             status, answer = self._answer(method, url.path, query, body)
         if writer.is_closing():
